--- /dev/null
+++ b/src/main/java/vetchrill/control/Exchange.java
@@ -0,0 +1,52 @@
+package vetchrill.control;
+
+/** One exchange read by this instance, with what is known of it. The first block is set by whoever reads it. */
+public class Exchange {
+    public enum Stage { HELD, RUNNING, AT_CALL, CALLING, REPLAYING, OVER }
+
+    /** How a run or a call ended. */
+    public enum Outcome {
+        COMPLETED(false), ERRORED(false), FULL(true), GIVEN_UP(false), OUT_OF_REACH(true), CUT_OFF(false),
+        STOPPED(false), NOTHING_STARTED(true);
+
+        public final boolean provesUnrun;
+
+        Outcome(boolean provesUnrun) {
+            this.provesUnrun = provesUnrun;
+        }
+    }
+
+    public EndpointGroup group;
+    public int customer;
+    public long arrived;
+    /** When the caller gives up by its own word; 0 where it does not say. */
+    public long callerLeaves;
+    /** Core time it is said to need; 0 where nothing is said. */
+    public long work;
+    public double kb;
+    public double rank;
+    /** A further try, as marked by the caller. */
+    public boolean resent;
+    /** It repeats a remembered exchange; {@code prior} is that one, or null when it has long been forgotten. */
+    public boolean repeat;
+    public Exchange prior;
+
+    Stage stage = Stage.HELD;
+    long due;
+    long sloAt;
+    boolean answered;
+    boolean ran;
+    boolean remembered;
+    boolean paused;
+    long begun;
+    long atCallSince;
+    long atCalls;
+    int callTries;
+    /** Some call that it made may have taken effect. */
+    boolean callUnproven;
+    long callAgainAt;
+
+    public boolean over() {
+        return stage == Stage.OVER;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -0,0 +1,529 @@
+package vetchrill.control;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import vetchrill.control.EndpointGroup.Effect;
+import vetchrill.control.Exchange.Outcome;
+import vetchrill.control.Exchange.Stage;
+
+/**
+ * All decisions of one instance. The owner reports what happened through {@link #arrived}, {@link #finished},
+ * {@link #wantsCall}, {@link #callEnded}, {@link #callerLeft}, {@link #leave} and {@link #gauges}, which only
+ * note it, and then calls {@link #next} until it returns false; each call does at most one thing through
+ * {@link Host}, the whole interface. Times are tenths of a millisecond on the owner's clock. One timer, asked
+ * for by {@link Host#wakeIn} and answered by {@link #gauges}, drives all that is periodic.
+ */
+public final class OverloadController {
+    /** Between two looks at the gauges, and so the coarseness of every duty that is bound to a time. */
+    private static final long PERIOD = 1000;
+    /** Duties are done this much ahead of their time: two periods, against a late timer. */
+    private static final long AHEAD = 2 * PERIOD;
+    /** An answer needs this long to get to the client. */
+    private static final long WAY_BACK = 100;
+    /** The design's watermark: part of the memory up to which held exchanges start. */
+    private static final double WATERMARK = 0.85;
+    /** Part of the memory past which the hold itself gives way; the rest is for what is read in one tick. */
+    private static final double HOLD_MARK = 0.92;
+    /** Part of the survivable crowd that is used. */
+    private static final double CROWD_MARK = 0.8;
+    /** The design's cpu share: under it the running bound grows, over it idle connections are cut. */
+    private static final double CPU_BUSY = 0.9;
+    /** Wanting a core, for each core, past which more running can't complete more. */
+    private static final double CROWDED = 1.3;
+    /** Connections for each caller told at start past which idle ones are cut. */
+    private static final int CONNECTIONS_PER_CALLER = 8;
+    /** Shortest idle time, and the steps in which it returns to that of the callers. */
+    private static final long SHORTEST_IDLE = 100;
+    private static final int STEPS_BACK = 50;
+    /** A denied caller is asked to stay away at least this long. */
+    private static final long LEAST_AWAY = 2000;
+
+    private static final Comparator<Exchange> OLDEST = Comparator.comparingLong(ex -> ex.arrived);
+
+    private final Deployment told;
+    private final SplittableRandom chance;
+    private final long born;
+    private long now;
+
+    private final List<Exchange> held = new ArrayList<>();
+    private final List<Exchange> running = new ArrayList<>();
+    private final List<Exchange> atCall = new ArrayList<>();
+    private final List<Exchange> replaying = new ArrayList<>();
+    /** The hold in the order in which it will be run. */
+    private List<Exchange> line = new ArrayList<>();
+    private final ArrayDeque<Exchange> fresh = new ArrayDeque<>();
+    private final ArrayDeque<Exchange> toForget = new ArrayDeque<>();
+    private final ArrayDeque<Exchange> toInterrupt = new ArrayDeque<>();
+    private final ArrayDeque<Exchange> remembered = new ArrayDeque<>();
+
+    private double memory;
+    private double cpu;
+    private double runnable;
+    private double connections;
+    private double bound;
+    private boolean ticked = true;
+    private boolean asleep = true;
+    private boolean sweep;
+    private boolean judge;
+    private boolean healthSaid;
+    private boolean leaving;
+    private long stopAt;
+    private long graceUntil;
+
+    private long idleTime;
+    private long idleSaid;
+    private final double[] customerRate;
+    private double arrivalRate;
+    private final double allowancePerServer;
+    private double denialRate;
+    private double lastSaid;
+    private double level;
+    private double callsGood;
+    private double callsBad;
+    private int probeWait;
+    private final Histogram callTime = new Histogram();
+    /** Measured core time in hundredths of the time that the exchange was said to need. */
+    private final Histogram pace = new Histogram();
+
+    public OverloadController(Deployment told, long seed, long now) {
+        this.told = told;
+        this.now = now;
+        chance = new SplittableRandom(seed);
+        born = now;
+        bound = told.cores;
+        idleTime = told.callerIdleTime;
+        idleSaid = idleTime;
+        customerRate = new double[told.allowance.length];
+        double sum = 0;
+        for (double a : told.allowance) {
+            sum += a;
+        }
+        allowancePerServer = sum / told.servers;
+    }
+
+    // What happened: noted here, decided on below.
+
+    public void arrived(Exchange ex, long now) {
+        this.now = now;
+        EndpointGroup group = ex.group;
+        ex.due = ex.callerLeaves > 0 ? ex.callerLeaves : ex.arrived + group.asyncTimeout;
+        ex.sloAt = ex.arrived + Math.min(group.asyncTimeout, group.sloTime + (long) (group.sloStretch * ex.work));
+        held.add(ex);
+        fresh.add(ex);
+        memory += ex.kb;
+        judge = true;
+        sweep |= ex.due <= now + AHEAD;
+        arrivalRate++;
+        if (ex.customer < customerRate.length) {
+            customerRate[ex.customer]++;
+        }
+    }
+
+    public void finished(Exchange ex, Outcome outcome, long took, long now) {
+        this.now = now;
+        judge = true;
+        if (outcome == Outcome.COMPLETED && ex.stage == Stage.RUNNING) {
+            long onCore = Math.max(1, took - ex.atCalls);
+            ex.group.onCore.add(onCore);
+            ex.group.atCalls.add(ex.atCalls);
+            if (ex.work > 0) {
+                pace.add(onCore * 100 / ex.work);
+            }
+        }
+        boolean owed = outcome == Outcome.STOPPED && !ex.answered;
+        release(ex);
+        if (owed) {
+            ex.stage = Stage.HELD;
+            held.add(ex);
+            memory += told.preemption == Deployment.Preemption.PAUSE ? ex.kb * told.runGrowth : ex.kb;
+            ex.paused = told.preemption == Deployment.Preemption.PAUSE;
+        }
+    }
+
+    public void wantsCall(Exchange ex, long now) {
+        this.now = now;
+        judge = true;
+        running.remove(ex);
+        atCall.add(ex);
+        ex.stage = Stage.AT_CALL;
+        ex.atCallSince = now;
+        ex.callTries = 0;
+        ex.callUnproven = false;
+        ex.callAgainAt = now;
+    }
+
+    public void callEnded(Exchange ex, Outcome outcome, long took, long now) {
+        this.now = now;
+        if (outcome == Outcome.COMPLETED) {
+            callsGood++;
+            callTime.add(took);
+            backFromCall(ex);
+        } else {
+            callsBad++;
+            ex.stage = Stage.AT_CALL;
+            ex.callTries++;
+            ex.callUnproven |= !outcome.provesUnrun;
+            ex.callAgainAt = now + PERIOD + chance.nextLong(2 * PERIOD);
+        }
+    }
+
+    public void callerLeft(Exchange ex, long now) {
+        this.now = now;
+        judge = true;
+        ex.answered = true;
+        if (ex.stage == Stage.HELD || ex.stage == Stage.REPLAYING) {
+            release(ex);
+        } else if (ex.stage == Stage.RUNNING && ex.group.effect == Effect.REPEATABLE) {
+            toInterrupt.add(ex);
+        }
+    }
+
+    public void leave(long stopAt, long now) {
+        this.now = now;
+        this.stopAt = stopAt;
+        leaving = true;
+        graceUntil = now + told.drainGrace;
+        judge = true;
+        sweep = true;
+    }
+
+    public void gauges(double cpu, double runnable, double connections, long now) {
+        this.now = now;
+        this.cpu = cpu;
+        this.runnable += (runnable - this.runnable) * 0.3;
+        this.connections = connections;
+        ticked = true;
+        asleep = true;
+    }
+
+    private void backFromCall(Exchange ex) {
+        atCall.remove(ex);
+        running.add(ex);
+        ex.stage = Stage.RUNNING;
+        ex.atCalls += now - ex.atCallSince;
+    }
+
+    private void release(Exchange ex) {
+        switch (ex.stage) {
+            case HELD -> {
+                held.remove(ex);
+                line.remove(ex);
+                memory -= ex.paused ? ex.kb * told.runGrowth : ex.kb;
+            }
+            case REPLAYING -> {
+                replaying.remove(ex);
+                memory -= ex.kb;
+            }
+            case RUNNING -> {
+                running.remove(ex);
+                memory -= ex.kb * told.runGrowth;
+            }
+            case AT_CALL, CALLING -> {
+                atCall.remove(ex);
+                memory -= ex.kb * told.runGrowth;
+            }
+            default -> {
+            }
+        }
+        ex.stage = Stage.OVER;
+        if (ex.remembered && !ex.ran) {
+            toForget.add(ex);
+        }
+    }
+
+    // What to do about it.
+
+    /** Does the next thing that is due, if any, through the host; false when there is nothing left to do. */
+    public boolean next(Host host) {
+        if (ticked) {
+            ticked = false;
+            sweep = true;
+            judge = true;
+            steer();
+        }
+        return wake(host) || recognise(host) || forget(host) || answerDue(host) || stopWork(host) || calls(host)
+                || shed(host) || start(host) || advise(host);
+    }
+
+    private void steer() {
+        // The design's bound: up while cores idle although work is held, down when runs only slow each other.
+        if (cpu < CPU_BUSY && !held.isEmpty() && running.size() >= (int) bound) {
+            bound++;
+        } else if (runnable > CROWDED * told.cores && bound > told.cores) {
+            bound--;
+        }
+        bound = Math.min(bound, Math.max(1, crowd()));
+        boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
+        idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
+                : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
+        double fade = 0.9;
+        arrivalRate *= fade;
+        denialRate *= fade;
+        callsGood *= fade;
+        callsBad *= fade;
+        for (int i = 0; i < customerRate.length; i++) {
+            customerRate[i] *= fade;
+        }
+        while (!remembered.isEmpty() && remembered.peek().arrived + remembered.peek().group.window < now) {
+            Exchange ex = remembered.poll();
+            if (ex.remembered) {
+                ex.remembered = false;
+                memory -= told.keyKb;
+            }
+        }
+    }
+
+    /** Runs that the cores survive: fewer while cold. Those at calls count, as they may all come back at once. */
+    private double crowd() {
+        double warm = 1;
+        if (told.cold && told.warmUp > 0) {
+            warm = Math.min(1, told.coldShare + (1 - told.coldShare) * (now - born) / told.warmUp);
+        }
+        return CROWD_MARK * (1 + (told.crowdPerCore - 1) * warm) * told.cores;
+    }
+
+    private boolean wake(Host host) {
+        if (!asleep) {
+            return false;
+        }
+        asleep = false;
+        host.wakeIn(PERIOD);
+        return true;
+    }
+
+    /** No effect twice: each deduplicated exchange is known from its reading on, and its repeats answered from it. */
+    private boolean recognise(Host host) {
+        while (!fresh.isEmpty()) {
+            Exchange ex = fresh.poll();
+            if (ex.group.effect != Effect.DEDUPLICATED || ex.stage != Stage.HELD) {
+                continue;
+            }
+            if (ex.repeat && ranOrMayRun(ex.prior)) {
+                held.remove(ex);
+                line.remove(ex);
+                replaying.add(ex);
+                ex.stage = Stage.REPLAYING;
+                ex.ran = true;
+                host.replay(ex);
+                return true;
+            }
+            long span = ex.arrived + ex.group.window - now;
+            if (span > 0) {
+                ex.remembered = true;
+                remembered.add(ex);
+                memory += told.keyKb;
+                host.remember(ex, span + told.tick);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean ranOrMayRun(Exchange prior) {
+        return prior == null || prior.ran || prior.stage != Stage.OVER;
+    }
+
+    /** What was turned away before it ran leaves no trace, or its repeat would be answered with its failure. */
+    private boolean forget(Host host) {
+        while (!toForget.isEmpty()) {
+            Exchange ex = toForget.poll();
+            if (ex.remembered) {
+                ex.remembered = false;
+                memory -= told.keyKb;
+                host.forget(ex);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Every exchange has its answer by its due time, and all of them before the stop. */
+    private boolean answerDue(Host host) {
+        if (!sweep) {
+            return false;
+        }
+        boolean stopping = leaving && stopAt <= now + AHEAD;
+        for (List<Exchange> open : List.of(held, running, atCall, replaying)) {
+            for (Exchange ex : open) {
+                if (!ex.answered && (stopping || ex.due <= now + AHEAD)) {
+                    giveUp(ex, host);
+                    return true;
+                }
+            }
+        }
+        sweep = false;
+        return false;
+    }
+
+    private void giveUp(Exchange ex, Host host) {
+        ex.answered = true;
+        if (ex.stage == Stage.HELD && !(ex.ran && ex.group.effect != Effect.REPEATABLE)) {
+            release(ex);
+            host.deny(ex, told.longestAway, false);
+            return;
+        }
+        if (ex.stage == Stage.HELD || ex.stage == Stage.REPLAYING) {
+            release(ex);
+        } else if (ex.stage == Stage.RUNNING) {
+            toInterrupt.add(ex);
+        }
+        host.terminate(ex);
+    }
+
+    /** Work that nobody waits for gives its core back, where the host can stop it. */
+    private boolean stopWork(Host host) {
+        while (!toInterrupt.isEmpty()) {
+            Exchange ex = toInterrupt.poll();
+            if (told.preemption != Deployment.Preemption.NONE && ex.stage == Stage.RUNNING) {
+                host.interrupt(ex);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean calls(Host host) {
+        for (Exchange ex : atCall) {
+            if (ex.stage != Stage.AT_CALL || ex.answered || ex.callAgainAt > now) {
+                continue;
+            }
+            boolean optional = ex.group.benefitWithoutCall > 0;
+            long rest = (long) expect(ex) / 2 + WAY_BACK;
+            long latest = ex.sloAt - rest;
+            boolean failing = callsBad > 4 && callsBad > 2 * callsGood;
+            if (optional && (ex.callTries > 0 || failing && chance.nextInt(8) > 0
+                    || now + callTime.mean(0) > latest)) {
+                backFromCall(ex);
+                host.leaveOut(ex);
+                return true;
+            }
+            boolean mayRepeat = !ex.callUnproven || ex.group.effect == Effect.REPEATABLE;
+            if (!mayRepeat || latest <= now && ex.group.lateShare == 0 || ex.due <= now + AHEAD) {
+                giveUp(ex, host);
+                return true;
+            }
+            long until = latest > now ? latest : ex.due - AHEAD;
+            if (optional) {
+                until = Math.min(until, now + (long) Math.max(4 * PERIOD, 3 * callTime.mean(10 * PERIOD)));
+            }
+            ex.stage = Stage.CALLING;
+            host.call(ex, until);
+            return true;
+        }
+        return false;
+    }
+
+    private double expect(Exchange ex) {
+        if (ex.work > 0) {
+            return ex.work * pace.mean(150) / 100;
+        }
+        return ex.group.onCore.mean(ex.group.sloTime / 6.0);
+    }
+
+    /** Benefit for the core time it takes; a customer beyond its share counts by the part that is within. */
+    private double density(Exchange ex) {
+        double benefit = ex.group.benefit;
+        if (ex.customer < customerRate.length && told.allowance[ex.customer] > 0) {
+            double usual = told.allowance[ex.customer] / told.servers;
+            double seen = customerRate[ex.customer];
+            if (seen > usual) {
+                benefit *= (usual + (seen - usual) * told.benefitBeyondShare) / seen;
+            }
+        }
+        return told.benefitByWork ? benefit : benefit / expect(ex);
+    }
+
+    /** Turns away, as early as it is known, what can't make its SLO time; and what the memory can't hold. */
+    private boolean shed(Host host) {
+        if (!judge) {
+            return false;
+        }
+        line = new ArrayList<>(held);
+        line.sort(OLDEST);
+        Exchange hopeless = firstHopeless();
+        if (hopeless != null) {
+            line.sort(Comparator.comparingDouble((Exchange ex) -> -density(ex)).thenComparing(OLDEST));
+            hopeless = firstHopeless();
+        }
+        if (hopeless == null && memory > HOLD_MARK * told.memoryKb && !line.isEmpty()) {
+            hopeless = line.get(line.size() - 1);
+        }
+        if (hopeless == null) {
+            judge = false;
+            return false;
+        }
+        denialRate++;
+        hopeless.answered = true;
+        boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
+        release(hopeless);
+        if (neverRan) {
+            boolean allFull = arrivalRate > allowancePerServer;
+            long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
+            host.deny(hopeless, Math.min(away, told.longestAway), allFull);
+        } else {
+            host.terminate(hopeless);
+        }
+        return true;
+    }
+
+    private Exchange firstHopeless() {
+        double ahead = 0;
+        for (Exchange ex : running) {
+            ahead += Math.max(expect(ex) / 4, expect(ex) - (now - ex.begun - ex.atCalls));
+        }
+        double slots = Math.max(1, Math.min(bound, crowd()));
+        for (Exchange ex : line) {
+            boolean rerun = ex.ran && !ex.paused && ex.group.effect != Effect.REPEATABLE;
+            if (rerun || leaving && ex.arrived > graceUntil) {
+                return ex;
+            }
+            double own = expect(ex) + ex.group.atCalls.mean(0);
+            double startsAt = now + ahead / slots;
+            double limit = leaving ? Math.min(ex.sloAt, stopAt - AHEAD) : ex.sloAt;
+            boolean first = running.isEmpty() && ex == line.get(0) && ex.sloAt > now && !leaving;
+            if (!first && startsAt + own > limit - WAY_BACK) {
+                return ex;
+            }
+            ahead += expect(ex);
+        }
+        return null;
+    }
+
+    private boolean start(Host host) {
+        if (line.isEmpty() || running.size() >= (int) bound || running.size() + atCall.size() >= crowd()) {
+            return false;
+        }
+        Exchange ex = line.get(0);
+        double growth = ex.paused ? 0 : ex.kb * (told.runGrowth - 1);
+        if (memory + growth > WATERMARK * told.memoryKb) {
+            return false;
+        }
+        held.remove(ex);
+        line.remove(0);
+        running.add(ex);
+        memory += growth;
+        ex.stage = Stage.RUNNING;
+        ex.paused = false;
+        ex.ran = true;
+        ex.begun = now;
+        host.begin(ex);
+        return true;
+    }
+
+    private boolean advise(Host host) {
+        if (!healthSaid) {
+            healthSaid = true;
+            host.health(true);
+            return true;
+        }
+        if (idleTime != idleSaid) {
+            idleSaid = idleTime;
+            host.idleTime(idleTime);
+            return true;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/wire/DeploymentReader.java
@@ -0,0 +1,116 @@
+package vetchrill.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
+import vetchrill.control.Deployment;
+import vetchrill.control.EndpointGroup;
+
+/** Decodes what a fresh instance is told. */
+final class DeploymentReader {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    final Deployment deployment = new Deployment();
+    /** Where each gauge stands in a row of gauges; -1 where it is not sent. */
+    final int cpuAt;
+    final int runnableAt;
+    final int connectionsAt;
+
+    DeploymentReader(String options) {
+        JsonNode root;
+        try {
+            root = JSON.readTree(options);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("options are no JSON: " + e.getOriginalMessage());
+        }
+        if (root == null || !root.isObject()) {
+            throw new IllegalArgumentException("options are no JSON object");
+        }
+        JsonNode info = root.path("familyInfo");
+        JsonNode rules = root.path("guarantees");
+        Deployment d = deployment;
+        d.groups = groups(root, info);
+        JsonNode customers = root.path("customers");
+        d.allowance = new double[customers.size()];
+        for (int i = 0; i < d.allowance.length; i++) {
+            d.allowance[i] = customers.get(i).path("allowancePerS").asDouble();
+        }
+        d.benefitBeyondShare = root.path("overShareWorth").asDouble(1);
+        d.benefitByWork = "work".equals(root.path("valueBy").asText());
+        d.servers = Math.max(1, root.path("servers").asInt(1));
+        d.callers = Math.max(1, info.path("callers").asInt(1));
+        d.cores = Math.max(1, info.path("cores").asInt(1));
+        d.memoryKb = info.path("ramKb").asDouble(Double.MAX_VALUE);
+        d.runGrowth = Math.max(1, info.path("runMemFactor").asDouble(1));
+        d.keyKb = info.path("keyKb").asDouble();
+        d.callerIdleTime = tenths(info, "idleMs", 15_000);
+        d.tick = tenths(root, "quantumMs", 5);
+        d.preemption = switch (info.path("preemption").asText("off")) {
+            case "drop" -> Deployment.Preemption.DROP;
+            case "pause" -> Deployment.Preemption.PAUSE;
+            default -> Deployment.Preemption.NONE;
+        };
+        d.say = switch (info.path("say").asText("off")) {
+            case "min_rank" -> Deployment.Say.LEAST_RANK;
+            case "tokens" -> Deployment.Say.TOKENS;
+            case "bias" -> Deployment.Say.BIAS;
+            default -> Deployment.Say.NOTHING;
+        };
+        d.callsShared = "common".equals(info.path("below").asText());
+        d.callsOut = info.path("callsOut").asDouble();
+        d.listFollowsHealth = info.path("listFollows").asBoolean();
+        d.cold = info.path("cold").asBoolean();
+        d.coldShare = rules.path("coldShare").asDouble(1);
+        d.warmUp = tenths(rules, "coldMs", 0);
+        d.crowdPerCore = rules.path("fallMultiple").asDouble(2);
+        d.drainGrace = tenths(rules, "stopSendingWithinMs", 0);
+        d.longestAway = tenths(root.path("limits"), "maxRetryAfterMs", 0);
+        JsonNode meters = info.path("meters");
+        cpuAt = position(meters, "cpu_busy");
+        runnableAt = position(meters, "runnable");
+        connectionsAt = position(meters, "sockets");
+    }
+
+    private static List<EndpointGroup> groups(JsonNode root, JsonNode info) {
+        List<EndpointGroup> groups = new ArrayList<>();
+        for (JsonNode told : root.path("categories")) {
+            EndpointGroup group = new EndpointGroup();
+            group.effect = switch (told.path("effect").asText()) {
+                case "free" -> EndpointGroup.Effect.REPEATABLE;
+                case "guarded" -> EndpointGroup.Effect.DEDUPLICATED;
+                case "single_shot" -> EndpointGroup.Effect.MUTATING;
+                default -> throw new IllegalArgumentException(
+                        "unknown effect '" + told.path("effect").asText() + "' in options");
+            };
+            group.asyncTimeout = tenths(told, "deadlineMs", 60_000);
+            group.sloTime = tenths(told, "aimMs", group.asyncTimeout / 10.0);
+            group.sloStretch = told.path("aimStretch").asDouble();
+            group.benefit = told.path("gain").asDouble(1);
+            group.lateShare = told.path("lateShare").asDouble();
+            group.window = tenths(told, "keyTtlMs", 0);
+            int at = groups.size();
+            group.mayCall = info.path("callsByClass").path(at).asBoolean();
+            group.benefitWithoutCall = info.path("worthWithout").path(at).asDouble();
+            groups.add(group);
+        }
+        if (groups.isEmpty()) {
+            throw new IllegalArgumentException("options name no categories");
+        }
+        return groups;
+    }
+
+    private static long tenths(JsonNode node, String key, double otherwise) {
+        return Math.round(node.path(key).asDouble(otherwise) * 10);
+    }
+
+    private static int position(JsonNode names, String name) {
+        for (int i = 0; i < names.size(); i++) {
+            if (names.get(i).asText().equals(name)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+}
