Calls may take until the SLO time less the rest of the work

Cause: a call was given up after three mean call times; the tier below had by then done much of the work, and the answer lost 40% of its benefit.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -406,9 +406,6 @@
                 return true;
             }
             long until = latest > now ? latest : ex.due - AHEAD;
-            if (optional) {
-                until = Math.min(until, now + (long) Math.max(4 * PERIOD, 3 * callTime.mean(10 * PERIOD)));
-            }
             ex.stage = Stage.CALLING;
             host.call(ex, until);
             return true;
