The running bound grows only while fewer want a core than there are

Cause looked for: where another program takes cores, the cpu gauge stays under 0.9 and the bound climbs to the crowd. Conclusion: kept, as it holds the crowd down on a machine that is shared; harm would come where many short runs want a core at the same moment though the cores idle in between.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -250,7 +250,8 @@
 
     private void steer() {
         // The design's bound: up while cores idle although work is held, down when runs only slow each other.
-        if (cpu < CPU_BUSY && !held.isEmpty() && running.size() >= (int) bound) {
+        // Where something else takes cores, cpu alone never gets busy: runs that already wait for one say so.
+        if (cpu < CPU_BUSY && runnable < told.cores && !held.isEmpty() && running.size() >= (int) bound) {
             bound++;
         } else if (runnable > CROWDED * told.cores && bound > told.cores) {
             bound--;
