--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -458,7 +458,7 @@
         boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
         release(hopeless);
         if (neverRan) {
-            boolean allFull = arrivalRate > allowancePerServer;
+            boolean allFull = false;
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
             host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
