Ask to give up only where reading is dear, by chance as arrivals pass the told allowance

Cause: a denial that roams costs each server its reading. That cost is read off how long exchanges wait to be read against how long they run; whether others have room, off own arrivals against this server's part of the told allowance. Also guards against retry storms after any loss of servers; could do harm where the allowance told is far from what the fleet can do.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -85,6 +85,8 @@
     private double callsBad;
     private int probeWait;
     private final Histogram callTime = new Histogram();
+    private final Histogram reading = new Histogram();
+    private final Histogram onCore = new Histogram();
     /** Measured core time in hundredths of the time that the exchange was said to need. */
     private final Histogram pace = new Histogram();
 
@@ -117,6 +119,7 @@
         judge = true;
         sweep |= ex.due <= now + AHEAD;
         arrivalRate++;
+        reading.add(now - ex.arrived);
         if (ex.customer < customerRate.length) {
             customerRate[ex.customer]++;
         }
@@ -128,6 +131,7 @@
         if (outcome == Outcome.COMPLETED && ex.stage == Stage.RUNNING) {
             long onCore = Math.max(1, took - ex.atCalls);
             ex.group.onCore.add(onCore);
+            this.onCore.add(onCore);
             ex.group.atCalls.add(ex.atCalls);
             if (ex.work > 0) {
                 pace.add(onCore * 100 / ex.work);
@@ -458,7 +462,7 @@
         boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
         release(hopeless);
         if (neverRan) {
-            boolean allFull = false;
+            boolean allFull = readingIsDear() && arrivalRate / allowancePerServer > 1 + 0.6 * chance.nextDouble();
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
             host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
@@ -467,6 +471,11 @@
         return true;
     }
 
+    /** What a denied exchange costs each server it goes on to, told by how long exchanges wait to be read. */
+    private boolean readingIsDear() {
+        return reading.quantile(0.25, 0) > 0.12 * onCore.mean(Double.MAX_VALUE);
+    }
+
     private Exchange firstHopeless() {
         double ahead = 0;
         for (Exchange ex : running) {
