Those at calls no longer count against the crowd where returning ones can be stopped

Calls that come back in a crowd are now taken off the cores instead. Also guards against a tier below that stalls and then answers everything at once; harm: with DROP the stopped work is lost.

--- a/src/main/java/vetchrill/control/Exchange.java
+++ b/src/main/java/vetchrill/control/Exchange.java
@@ -38,6 +38,7 @@
     boolean ran;
     boolean remembered;
     boolean paused;
+    boolean stopping;
     long begun;
     long atCallSince;
     long atCalls;
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -27,6 +27,8 @@
     private static final double WATERMARK = 0.85;
     /** Part of the memory past which the hold itself gives way; the rest is for what is read in one tick. */
     private static final double HOLD_MARK = 0.92;
+    /** Running and at calls together, for each core, where returning calls can be taken off the cores again. */
+    private static final int AT_CALLS_PER_CORE = 12;
     /** Part of the survivable crowd that is used. */
     private static final double CROWD_MARK = 0.8;
     /** The design's cpu share: under it the running bound grows, over it idle connections are cut. */
@@ -137,6 +139,7 @@
                 pace.add(onCore * 100 / ex.work);
             }
         }
+        ex.stopping = false;
         boolean owed = outcome == Outcome.STOPPED && !ex.answered;
         release(ex);
         if (owed) {
@@ -155,6 +158,7 @@
         ex.stage = Stage.AT_CALL;
         ex.atCallSince = now;
         ex.callTries = 0;
+        ex.stopping = false;
         ex.callUnproven = false;
         ex.callAgainAt = now;
     }
@@ -248,8 +252,8 @@
             judge = true;
             steer();
         }
-        return wake(host) || recognise(host) || forget(host) || answerDue(host) || stopWork(host) || calls(host)
-                || shed(host) || start(host) || advise(host);
+        return wake(host) || recognise(host) || forget(host) || answerDue(host) || stopWork(host) || thin(host)
+                || calls(host) || shed(host) || start(host) || advise(host);
     }
 
     private void steer() {
@@ -281,7 +285,7 @@
         }
     }
 
-    /** Runs that the cores survive: fewer while cold. Those at calls count, as they may all come back at once. */
+    /** Runs that the cores survive: fewer while cold. */
     private double crowd() {
         double warm = 1;
         if (told.cold && told.warmUp > 0) {
@@ -390,6 +394,26 @@
         return false;
     }
 
+    /**
+     * Calls that come back together could crowd the cores past what they survive, whatever held them up below:
+     * the latest begun go back to the hold. With DROP this costs their work.
+     */
+    private boolean thin(Host host) {
+        if (told.preemption == Deployment.Preemption.NONE || running.size() <= crowd()) {
+            return false;
+        }
+        for (int i = running.size() - 1; i >= 0; i--) {
+            Exchange ex = running.get(i);
+            if (!ex.stopping && (told.preemption == Deployment.Preemption.PAUSE
+                    || ex.group.effect == Effect.REPEATABLE)) {
+                ex.stopping = true;
+                host.interrupt(ex);
+                return true;
+            }
+        }
+        return false;
+    }
+
     private boolean calls(Host host) {
         for (Exchange ex : atCall) {
             if (ex.stage != Stage.AT_CALL || ex.answered || ex.callAgainAt > now) {
@@ -500,7 +524,9 @@
     }
 
     private boolean start(Host host) {
-        if (line.isEmpty() || running.size() >= (int) bound || running.size() + atCall.size() >= crowd()) {
+        boolean canThin = told.preemption != Deployment.Preemption.NONE;
+        if (line.isEmpty() || running.size() >= (int) bound
+                || running.size() + atCall.size() >= (canThin ? AT_CALLS_PER_CORE * told.cores : crowd())) {
             return false;
         }
         Exchange ex = line.get(0);
