--- a/src/main/java/vetchrill/control/Exchange.java
+++ b/src/main/java/vetchrill/control/Exchange.java
@@ -34,6 +34,7 @@
     Stage stage = Stage.HELD;
     long due;
     long sloAt;
+    long startBy;
     boolean answered;
     boolean ran;
     boolean remembered;
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -29,6 +29,8 @@
     private static final double HOLD_MARK = 0.92;
     /** Running and at calls together, for each core, where returning calls can be taken off the cores again. */
     private static final int AT_CALLS_PER_CORE = 12;
+    /** Part of the SLO time that may pass in the hold: the wait is only guessed, and the next server may be free. */
+    private static final double PATIENCE = 0.25;
     /** Part of the survivable crowd that is used. */
     private static final double CROWD_MARK = 0.8;
     /** The design's cpu share: under it the running bound grows, over it idle connections are cut. */
@@ -114,6 +116,7 @@
         this.now = now;
         EndpointGroup group = ex.group;
         ex.due = ex.callerLeaves > 0 ? ex.callerLeaves : ex.arrived + group.asyncTimeout;
+        ex.startBy = ex.arrived + (long) (PATIENCE * group.sloTime);
         ex.sloAt = ex.arrived + Math.min(group.asyncTimeout, group.sloTime + (long) (group.sloStretch * ex.work));
         held.add(ex);
         fresh.add(ex);
@@ -515,7 +518,7 @@
             double startsAt = now + ahead / slots;
             double limit = leaving ? Math.min(ex.sloAt, stopAt - AHEAD) : ex.sloAt;
             boolean first = running.isEmpty() && ex == line.get(0) && ex.sloAt > now && !leaving;
-            if (!first && startsAt + own > limit - WAY_BACK) {
+            if (!first && (startsAt + own > limit - WAY_BACK || startsAt > ex.startBy)) {
                 return ex;
             }
             ahead += expect(ex);
