A short hold in the tier below, whose callers have holds of their own

Also guards against a slow server of the second tier; harm: where all of that tier is full, calls that can't be left out are tried more often.

--- a/src/main/java/vetchrill/control/Deployment.java
+++ b/src/main/java/vetchrill/control/Deployment.java
@@ -15,6 +15,8 @@
     public boolean benefitByWork;
     public int servers;
     public int callers;
+    /** Its callers are servers of the tier above, with holds of their own. */
+    public boolean below;
     public int cores;
     public double memoryKb;
     public double runGrowth;
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -30,7 +30,9 @@
     /** Running and at calls together, for each core, where returning calls can be taken off the cores again. */
     private static final int AT_CALLS_PER_CORE = 12;
     /** Part of the SLO time that may pass in the hold: the wait is only guessed, and the next server may be free. */
-    private static final double PATIENCE = 0.25;
+    private static final double PATIENCE = 0.6;
+    /** The same where the callers are servers that have a hold of their own and can often do without. */
+    private static final double PATIENCE_BELOW = 0.15;
     /** Part of the survivable crowd that is used. */
     private static final double CROWD_MARK = 0.8;
     /** The design's cpu share: under it the running bound grows, over it idle connections are cut. */
@@ -116,7 +118,7 @@
         this.now = now;
         EndpointGroup group = ex.group;
         ex.due = ex.callerLeaves > 0 ? ex.callerLeaves : ex.arrived + group.asyncTimeout;
-        ex.startBy = ex.arrived + (long) (PATIENCE * group.sloTime);
+        ex.startBy = ex.arrived + (long) ((told.below ? PATIENCE_BELOW : PATIENCE) * group.sloTime);
         ex.sloAt = ex.arrived + Math.min(group.asyncTimeout, group.sloTime + (long) (group.sloStretch * ex.work));
         held.add(ex);
         fresh.add(ex);
