Nothing is denied while all that is held can start at once

Cause: a large exchange whose expected time passes its SLO time was turned away by an idle server. Also guards against estimates that are far too long after a slow spell.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -511,6 +511,7 @@
             ahead += Math.max(expect(ex) / 4, expect(ex) - (now - ex.begun - ex.atCalls));
         }
         double slots = Math.max(1, Math.min(bound, crowd()));
+        boolean roomy = running.size() + line.size() <= (int) bound;
         for (Exchange ex : line) {
             boolean rerun = ex.ran && !ex.paused && ex.group.effect != Effect.REPEATABLE;
             if (rerun || leaving && ex.arrived > graceUntil) {
@@ -519,7 +520,7 @@
             double own = expect(ex) + ex.group.atCalls.mean(0);
             double startsAt = now + ahead / slots;
             double limit = leaving ? Math.min(ex.sloAt, stopAt - AHEAD) : ex.sloAt;
-            boolean first = running.isEmpty() && ex == line.get(0) && ex.sloAt > now && !leaving;
+            boolean first = (roomy || running.isEmpty() && ex == line.get(0)) && ex.sloAt > now && !leaving;
             if (!first && (startsAt + own > limit - WAY_BACK || startsAt > ex.startBy)) {
                 return ex;
             }
