--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -425,8 +425,8 @@
                 continue;
             }
             boolean optional = ex.group.benefitWithoutCall > 0;
-            long rest = (long) expect(ex) / 2 + WAY_BACK;
-            long latest = ex.sloAt - rest;
+            double rest = Math.max(expect(ex) / 8, expect(ex) - (now - ex.begun - ex.atCalls));
+            long latest = ex.sloAt - WAY_BACK - (optional ? (long) rest : 0);
             boolean failing = callsBad > 4 && callsBad > 2 * callsGood;
             if (optional && (ex.callTries > 0 || failing && chance.nextInt(8) > 0
                     || now + callTime.mean(0) > latest)) {
