--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -506,11 +506,11 @@
     }
 
     private Exchange firstHopeless() {
-        // Slot by slot, as one huge run takes one slot and not a share of all.
-        double[] slots = new double[Math.max(1, (int) Math.min(bound, crowd()))];
+        double ahead = 0;
         for (Exchange ex : running) {
-            slots[firstFree(slots)] += Math.max(expect(ex) / 4, expect(ex) - (now - ex.begun - ex.atCalls));
+            ahead += Math.max(expect(ex) / 4, expect(ex) - (now - ex.begun - ex.atCalls));
         }
+        double slots = Math.max(1, Math.min(bound, crowd()));
         boolean roomy = running.size() + line.size() <= (int) bound;
         for (Exchange ex : line) {
             boolean rerun = ex.ran && !ex.paused && ex.group.effect != Effect.REPEATABLE;
@@ -518,28 +518,17 @@
                 return ex;
             }
             double own = expect(ex) + ex.group.atCalls.mean(0);
-            int slot = firstFree(slots);
-            double startsAt = now + slots[slot];
+            double startsAt = now + ahead / slots;
             double limit = leaving ? Math.min(ex.sloAt, stopAt - AHEAD) : ex.sloAt;
             boolean first = (roomy || running.isEmpty() && ex == line.get(0)) && ex.sloAt > now && !leaving;
             if (!first && (startsAt + own > limit - WAY_BACK || startsAt > ex.startBy)) {
                 return ex;
             }
-            slots[slot] += expect(ex);
+            ahead += expect(ex);
         }
         return null;
     }
 
-    private static int firstFree(double[] slots) {
-        int first = 0;
-        for (int i = 1; i < slots.length; i++) {
-            if (slots[i] < slots[first]) {
-                first = i;
-            }
-        }
-        return first;
-    }
-
     private boolean start(Host host) {
         boolean canThin = told.preemption != Deployment.Preemption.NONE;
         if (line.isEmpty() || running.size() >= (int) bound
