--- a/src/main/java/vetchrill/control/Histogram.java
+++ b/src/main/java/vetchrill/control/Histogram.java
@@ -19,11 +19,15 @@
     void add(long value) {
         counts[bin(value)]++;
         if (++total >= FULL) {
-            total = 0;
-            for (int i = 0; i < BINS; i++) {
-                counts[i] /= 2;
-                total += counts[i];
-            }
+            halve();
+        }
+    }
+
+    void halve() {
+        total = 0;
+        for (int i = 0; i < BINS; i++) {
+            counts[i] /= 2;
+            total += counts[i];
         }
     }
 
