--- a/src/main/java/vetchrill/control/Histogram.java
+++ b/src/main/java/vetchrill/control/Histogram.java
@@ -19,15 +19,11 @@
     void add(long value) {
         counts[bin(value)]++;
         if (++total >= FULL) {
-            halve();
-        }
-    }
-
-    void halve() {
-        total = 0;
-        for (int i = 0; i < BINS; i++) {
-            counts[i] /= 2;
-            total += counts[i];
+            total = 0;
+            for (int i = 0; i < BINS; i++) {
+                counts[i] /= 2;
+                total += counts[i];
+            }
         }
     }
 
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -44,8 +44,6 @@
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
     private static final long SHORTEST_IDLE = 100;
     private static final int STEPS_BACK = 50;
-    /** What was measured counts half after this many periods, so that a machine that slows down is seen. */
-    private static final int HALVE_TICKS = 20;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
@@ -91,7 +89,7 @@
     private double level;
     private double callsGood;
     private double callsBad;
-    private int ticks;
+    private int probeWait;
     private final Histogram callTime = new Histogram();
     private final Histogram reading = new Histogram();
     private final Histogram onCore = new Histogram();
@@ -275,16 +273,6 @@
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
         idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
-        if (++ticks % HALVE_TICKS == 0) {
-            for (EndpointGroup group : told.groups) {
-                group.onCore.halve();
-                group.atCalls.halve();
-            }
-            onCore.halve();
-            reading.halve();
-            pace.halve();
-            callTime.halve();
-        }
         double fade = 0.9;
         arrivalRate *= fade;
         denialRate *= fade;
