--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -45,11 +44,6 @@
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
     private static final long SHORTEST_IDLE = 100;
     private static final int STEPS_BACK = 50;
-    /** Half of the runs this many times past their expected time, for so many periods, make a machine slow. */
-    private static final double SLOW = 1.5;
-    private static final int SLOW_TICKS = 3;
-    /** Bad health lasts this long, and up to twice; then the machine is tried again. */
-    private static final long LEAST_ILL = 20_000;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
@@ -80,7 +74,7 @@
     private boolean asleep = true;
     private boolean sweep;
     private boolean judge;
-    private int healthSaid = -1;
+    private boolean healthSaid;
     private boolean leaving;
     private long stopAt;
     private long graceUntil;
@@ -95,8 +89,7 @@
     private double level;
     private double callsGood;
     private double callsBad;
-    private int overdue;
-    private long healthyAt = Long.MIN_VALUE;
+    private int probeWait;
     private final Histogram callTime = new Histogram();
     private final Histogram reading = new Histogram();
     private final Histogram onCore = new Histogram();
@@ -280,10 +273,6 @@
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
         idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
-        overdue = slowness() > SLOW ? overdue + 1 : 0;
-        if (told.listFollowsHealth && overdue >= SLOW_TICKS && now >= healthyAt) {
-            healthyAt = now + LEAST_ILL + chance.nextLong(LEAST_ILL);
-        }
         double fade = 0.9;
         arrivalRate *= fade;
         denialRate *= fade;
@@ -301,17 +290,6 @@
         }
     }
 
-    /** How far the middle one of the runs is past its expected time; one huge run says nothing of the machine. */
-    private double slowness() {
-        double[] ratios = new double[running.size()];
-        for (int i = 0; i < ratios.length; i++) {
-            Exchange ex = running.get(i);
-            ratios[i] = (now - ex.begun - ex.atCalls) / Math.max(1, expect(ex));
-        }
-        Arrays.sort(ratios);
-        return ratios.length < 2 ? 0 : ratios[(ratios.length - 1) / 2];
-    }
-
     /** Runs that the cores survive: fewer while cold. */
     private double crowd() {
         double warm = 1;
@@ -575,10 +553,9 @@
     }
 
     private boolean advise(Host host) {
-        int health = now >= healthyAt && !leaving ? 1 : 0;
-        if (health != healthSaid) {
-            healthSaid = health;
-            host.health(health == 1);
+        if (!healthSaid) {
+            healthSaid = true;
+            host.health(true);
             return true;
         }
         if (idleTime != idleSaid) {
