--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -492,7 +492,8 @@
         release(hopeless);
         if (neverRan) {
             boolean allFull = readingIsDear() && arrivalRate / allowancePerServer > 1 + 0.6 * chance.nextDouble();
-            host.deny(hopeless, told.longestAway, allFull);
+            long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
+            host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
             host.terminate(hopeless);
         }
