Tokens: callers may have out here what was out when work had to be denied

Cause: where reading is dear, what is denied has already cost its reading; callers that hold back cost nothing. Also guards against a slow or cold server, which denies and so asks for less; harm: a caller that carries most of the traffic is held back first, as the figure is the same for each caller.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -44,6 +44,8 @@
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
     private static final long SHORTEST_IDLE = 100;
     private static final int STEPS_BACK = 50;
+    /** As many exchanges for each caller as if nothing were said. */
+    private static final double MANY = 1000;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
@@ -84,12 +86,11 @@
     private final double[] customerRate;
     private double arrivalRate;
     private final double allowancePerServer;
-    private double denialRate;
-    private double lastSaid;
-    private double level;
     private double callsGood;
     private double callsBad;
-    private int probeWait;
+    private boolean denied;
+    private double tokens = MANY;
+    private double tokensSaid = MANY;
     private final Histogram callTime = new Histogram();
     private final Histogram reading = new Histogram();
     private final Histogram onCore = new Histogram();
@@ -273,9 +274,12 @@
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
         idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
+        // What is out here when work has to be denied is all that callers may have out here; then it grows back.
+        int open = held.size() + running.size() + atCall.size();
+        tokens = denied ? Math.max(1, Math.min(tokens, (double) open / told.callers)) : Math.min(MANY, tokens * 1.05);
+        denied = false;
         double fade = 0.9;
         arrivalRate *= fade;
-        denialRate *= fade;
         callsGood *= fade;
         callsBad *= fade;
         for (int i = 0; i < customerRate.length; i++) {
@@ -486,7 +490,7 @@
             judge = false;
             return false;
         }
-        denialRate++;
+        denied = true;
         hopeless.answered = true;
         boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
         release(hopeless);
@@ -558,6 +562,11 @@
             host.health(true);
             return true;
         }
+        if (told.say == Deployment.Say.TOKENS && Math.abs(tokens - tokensSaid) > 0.1 * tokensSaid) {
+            tokensSaid = tokens;
+            host.say(tokens);
+            return true;
+        }
         if (idleTime != idleSaid) {
             idleSaid = idleTime;
             host.idleTime(idleTime);
