--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -46,6 +46,14 @@
     private static final int STEPS_BACK = 50;
     /** As many exchanges for each caller as if nothing were said. */
     private static final double MANY = 1000;
+    /**
+     * No run got anywhere for this long, and for this many usual runs: the work hangs, and waiting is no use. Where
+     * every core is on a huge exchange this turns work away for nothing, until one of them is done.
+     */
+    private static final long STUCK_LEAST = 5000;
+    private static final double STUCK_RUNS = 4;
+    /** Bad health lasts no longer; a quarter of it passes before the next time, lest a fleet go dark together. */
+    private static final long ILL = 50_000;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
@@ -76,7 +84,7 @@
     private boolean asleep = true;
     private boolean sweep;
     private boolean judge;
-    private boolean healthSaid;
+    private int healthSaid = -1;
     private boolean leaving;
     private long stopAt;
     private long graceUntil;
@@ -89,6 +97,11 @@
     private double callsGood;
     private double callsBad;
     private boolean denied;
+    private long lastTick;
+    /** When a run last got anywhere, or the first of them began. */
+    private long progressAt;
+    private boolean stuck;
+    private long illUntil = Long.MIN_VALUE;
     private double tokens = MANY;
     private double tokensSaid = MANY;
     private final Histogram callTime = new Histogram();
@@ -102,6 +115,7 @@
         this.now = now;
         chance = new SplittableRandom(seed);
         born = now;
+        lastTick = now;
         bound = told.cores;
         idleTime = told.callerIdleTime;
         idleSaid = idleTime;
@@ -136,6 +150,7 @@
     public void finished(Exchange ex, Outcome outcome, long took, long now) {
         this.now = now;
         judge = true;
+        progressAt = now;
         if (outcome == Outcome.COMPLETED && ex.stage == Stage.RUNNING) {
             long onCore = Math.max(1, took - ex.atCalls);
             ex.group.onCore.add(onCore);
@@ -159,6 +174,7 @@
     public void wantsCall(Exchange ex, long now) {
         this.now = now;
         judge = true;
+        progressAt = now;
         running.remove(ex);
         atCall.add(ex);
         ex.stage = Stage.AT_CALL;
@@ -209,17 +225,27 @@
         this.cpu = cpu;
         this.runnable += (runnable - this.runnable) * 0.3;
         this.connections = connections;
+        // After a pause of the whole process the timer is late, and runs had no chance to get anywhere.
+        progressAt += Math.max(0, now - lastTick - 2 * PERIOD);
+        lastTick = now;
         ticked = true;
         asleep = true;
     }
 
     private void backFromCall(Exchange ex) {
         atCall.remove(ex);
-        running.add(ex);
+        enter(ex);
         ex.stage = Stage.RUNNING;
         ex.atCalls += now - ex.atCallSince;
     }
 
+    private void enter(Exchange ex) {
+        if (running.isEmpty()) {
+            progressAt = now;
+        }
+        running.add(ex);
+    }
+
     private void release(Exchange ex) {
         switch (ex.stage) {
             case HELD -> {
@@ -271,6 +297,11 @@
             bound--;
         }
         bound = Math.min(bound, Math.max(1, crowd()));
+        stuck = !running.isEmpty()
+                && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
+        if (stuck && now >= illUntil + ILL / 4) {
+            illUntil = now + ILL;
+        }
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
         idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
@@ -495,7 +526,7 @@
         boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
         release(hopeless);
         if (neverRan) {
-            boolean allFull = readingIsDear() && arrivalRate / allowancePerServer > 1 + 0.6 * chance.nextDouble();
+            boolean allFull = !stuck && readingIsDear() && arrivalRate / allowancePerServer > 1 + 0.6 * chance.nextDouble();
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
             host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
@@ -517,6 +548,9 @@
         double slots = Math.max(1, Math.min(bound, crowd()));
         boolean roomy = running.size() + line.size() <= (int) bound;
         for (Exchange ex : line) {
+            if (stuck) {
+                return ex;
+            }
             boolean rerun = ex.ran && !ex.paused && ex.group.effect != Effect.REPEATABLE;
             if (rerun || leaving && ex.arrived > graceUntil) {
                 return ex;
@@ -546,7 +580,7 @@
         }
         held.remove(ex);
         line.remove(0);
-        running.add(ex);
+        enter(ex);
         memory += growth;
         ex.stage = Stage.RUNNING;
         ex.paused = false;
@@ -557,9 +591,10 @@
     }
 
     private boolean advise(Host host) {
-        if (!healthSaid) {
-            healthSaid = true;
-            host.health(true);
+        int health = leaving || told.listFollowsHealth && stuck && now < illUntil ? 0 : 1;
+        if (health != healthSaid) {
+            healthSaid = health;
+            host.health(health == 1);
             return true;
         }
         if (told.say == Deployment.Say.TOKENS && Math.abs(tokens - tokensSaid) > 0.1 * tokensSaid) {
