--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -52,6 +52,8 @@
      */
     private static final long STUCK_LEAST = 5000;
     private static final double STUCK_RUNS = 4;
+    /** Waiting unread for so long on average is no passing jam. */
+    private static final long UNREAD = 5000;
     /** Bad health lasts no longer; a quarter of it passes before the next time, lest a fleet go dark together. */
     private static final long ILL = 50_000;
     /** A denied caller is asked to stay away at least this long. */
@@ -101,6 +103,7 @@
     /** When a run last got anywhere, or the first of them began. */
     private long progressAt;
     private boolean stuck;
+    private double unread;
     private long illUntil = Long.MIN_VALUE;
     private double tokens = MANY;
     private double tokensSaid = MANY;
@@ -142,6 +145,7 @@
         sweep |= ex.due <= now + AHEAD;
         arrivalRate++;
         reading.add(now - ex.arrived);
+        unread += 0.1 * (now - ex.arrived - unread);
         if (ex.customer < customerRate.length) {
             customerRate[ex.customer]++;
         }
@@ -299,8 +303,11 @@
         bound = Math.min(bound, Math.max(1, crowd()));
         stuck = !running.isEmpty()
                 && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
-        if (stuck && now >= illUntil + ILL / 4) {
+        // Exchanges wait unread although no more than usual come: this machine is slow, and can't even deny them.
+        boolean swamped = unread > UNREAD && arrivalRate < allowancePerServer;
+        if ((stuck || swamped) && now >= illUntil + ILL / 4) {
             illUntil = now + ILL;
+            unread = 0;
         }
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
         idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
@@ -591,7 +598,7 @@
     }
 
     private boolean advise(Host host) {
-        int health = leaving || told.listFollowsHealth && stuck && now < illUntil ? 0 : 1;
+        int health = leaving || told.listFollowsHealth && now < illUntil ? 0 : 1;
         if (health != healthSaid) {
             healthSaid = health;
             host.health(health == 1);
