--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -52,8 +52,6 @@
      */
     private static final long STUCK_LEAST = 5000;
     private static final double STUCK_RUNS = 4;
-    /** Waiting unread for so long on average is no passing jam. */
-    private static final long UNREAD = 5000;
     /** Bad health lasts no longer; a quarter of it passes before the next time, lest a fleet go dark together. */
     private static final long ILL = 50_000;
     /** A denied caller is asked to stay away at least this long. */
@@ -103,6 +101,7 @@
     /** When a run last got anywhere, or the first of them began. */
     private long progressAt;
     private boolean stuck;
+    private final long shortestSlo;
     private double unread;
     private long illUntil = Long.MIN_VALUE;
     private double tokens = MANY;
@@ -128,6 +127,7 @@
             sum += a;
         }
         allowancePerServer = sum / told.servers;
+        shortestSlo = told.groups.stream().mapToLong(group -> group.sloTime).min().orElse(Long.MAX_VALUE);
     }
 
     // What happened: noted here, decided on below.
@@ -303,8 +303,8 @@
         bound = Math.min(bound, Math.max(1, crowd()));
         stuck = !running.isEmpty()
                 && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
-        // Exchanges wait unread although no more than usual come: this machine is slow, and can't even deny them.
-        boolean swamped = unread > UNREAD && arrivalRate < allowancePerServer;
+        // What is read is already too late: all that comes here is lost, and no denial reaches its caller in time.
+        boolean swamped = unread > shortestSlo;
         if ((stuck || swamped) && now >= illUntil + ILL / 4) {
             illUntil = now + ILL;
             unread = 0;
