Bad health where what is read is too late and no more than usual is read

Cause: a slow server reads for seconds what was given up long ago, and no denial reaches a caller in time; told from a fleet that is full by arrivals against this server's part of the told allowance. Also guards against stolen cores and long pauses; harm: a list that follows health loses servers in overload where the allowance told is set high.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -54,6 +54,8 @@
     private static final double STUCK_RUNS = 4;
     /** Bad health lasts no longer; a quarter of it passes before the next time, lest a fleet go dark together. */
     private static final long ILL = 50_000;
+    /** Arrivals this many times what was told as this server's part of all shares: others are full as well. */
+    private static final double ARRIVALS_UP = 1.3;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
@@ -303,8 +305,9 @@
         bound = Math.min(bound, Math.max(1, crowd()));
         stuck = !running.isEmpty()
                 && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
-        // What is read is already too late: all that comes here is lost, and no denial reaches its caller in time.
-        boolean swamped = unread > shortestSlo;
+        // What is read is already too late although no more is read than usual: this machine is slow, all that comes
+        // here is lost, and no denial reaches its caller in time. Where more is read than usual, others are full too.
+        boolean swamped = unread > shortestSlo && arrivalRate < ARRIVALS_UP * allowancePerServer;
         if ((stuck || swamped) && now >= illUntil + ILL / 4) {
             illUntil = now + ILL;
             unread = 0;
@@ -533,7 +536,7 @@
         boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
         release(hopeless);
         if (neverRan) {
-            boolean allFull = !stuck && readingIsDear() && arrivalRate / allowancePerServer > 1 + 0.6 * chance.nextDouble();
+            boolean allFull = !stuck && readingIsDear() && arrivalRate / allowancePerServer > ARRIVALS_UP * (0.8 + 0.4 * chance.nextDouble());
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
             host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
