--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -53,7 +53,7 @@
     private static final long STUCK_LEAST = 5000;
     private static final double STUCK_RUNS = 4;
     /** Bad health lasts no longer; a quarter of it passes before the next time, lest a fleet go dark together. */
-    private static final long ILL = 200_000;
+    private static final long ILL = 50_000;
     /** Arrivals this many times what was told as this server's part of all shares: others are full as well. */
     private static final double ARRIVALS_UP = 1.3;
     /** A denied caller is asked to stay away at least this long. */
@@ -308,11 +308,9 @@
         // What is read is already too late although no more is read than usual: this machine is slow, all that comes
         // here is lost, and no denial reaches its caller in time. Where more is read than usual, others are full too.
         boolean swamped = unread > shortestSlo && arrivalRate < ARRIVALS_UP * allowancePerServer;
-        boolean ill = now < illUntil;
-        if (!ill && (stuck || swamped) && now >= illUntil + ILL / 4) {
+        if ((stuck || swamped) && now >= illUntil + ILL / 4) {
             illUntil = now + ILL;
-        } else if (ill && !stuck && unread < shortestSlo / 4.0 && now > illUntil - ILL * 3 / 4) {
-            illUntil = now;
+            unread = 0;
         }
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
         idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
