--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -39,10 +39,6 @@
     private static final double CPU_BUSY = 0.9;
     /** Wanting a core, for each core, past which more running can't complete more. */
     private static final double CROWDED = 1.3;
-    /** Under this the bound returns to the core count. */
-    private static final double CALM = 1.1;
-    /** Running for each core that reading can't push the bound below. */
-    private static final double LEAST_RUNS = 0.5;
     /** Connections for each caller told at start past which idle ones are cut. */
     private static final int CONNECTIONS_PER_CALLER = 8;
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
@@ -301,9 +297,9 @@
     private void steer() {
         // The design's bound: up while cores idle although work is held, down when runs only slow each other.
         // Where something else takes cores, cpu alone never gets busy: runs that already wait for one say so.
-        if ((cpu < CPU_BUSY && runnable < told.cores || bound < told.cores && runnable < CALM * told.cores) && !held.isEmpty() && running.size() >= (int) bound) {
+        if (cpu < CPU_BUSY && runnable < told.cores && !held.isEmpty() && running.size() >= (int) bound) {
             bound++;
-        } else if (runnable > CROWDED * told.cores && bound > LEAST_RUNS * told.cores) {
+        } else if (runnable > CROWDED * told.cores && bound > told.cores) {
             bound--;
         }
         bound = Math.min(bound, Math.max(1, crowd()));
