--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -301,8 +301,6 @@
             bound++;
         } else if (runnable > CROWDED * told.cores && bound > told.cores) {
             bound--;
-        } else if (unread > 500 && readingIsDear()) {
-            bound = Math.max(bound, 1.33 * told.cores);
         }
         bound = Math.min(bound, Math.max(1, crowd()));
         stuck = !running.isEmpty()
