A least rank that rises while work is denied and sinks back

Callers that heed it keep back the cheapest work before it costs a try. Never above one half, so that the dearest half of the ranks is always sent.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -99,6 +99,8 @@
     private double callsGood;
     private double callsBad;
     private boolean denied;
+    private double level;
+    private double levelSaid;
     private long lastTick;
     /** When a run last got anywhere, or the first of them began. */
     private long progressAt;
@@ -315,6 +317,8 @@
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
         idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
+        // Callers that heed a least rank send nothing below it: it rises while work is denied, and sinks back.
+        level = denied ? Math.min(0.5, level + 0.02) : Math.max(0, level - 0.01);
         // What is out here when work has to be denied is all that callers may have out here; then it grows back.
         int open = held.size() + running.size() + atCall.size();
         tokens = denied ? Math.max(1, Math.min(tokens, (double) open / told.callers)) : Math.min(MANY, tokens * 1.05);
@@ -612,6 +616,11 @@
             host.say(tokens);
             return true;
         }
+        if (told.say == Deployment.Say.LEAST_RANK && Math.abs(level - levelSaid) > 0.04) {
+            levelSaid = level;
+            host.say(level);
+            return true;
+        }
         if (idleTime != idleSaid) {
             idleSaid = idleTime;
             host.idleTime(idleTime);
