--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -44,6 +44,8 @@
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
     private static final long SHORTEST_IDLE = 100;
     private static final int STEPS_BACK = 50;
+    /** Where closings come straight back, idle time is cut to this part of the callers' own at most. */
+    private static final int REOPENED = 20;
     /** As many exchanges for each caller as if nothing were said. */
     private static final double MANY = 1000;
     /**
@@ -315,7 +317,9 @@
             unread = 0;
         }
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
-        idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
+        // A caller keeps coming back: with no more than one connection for each, what is closed is opened again.
+        long floor = connections > told.callers ? SHORTEST_IDLE : told.callerIdleTime / REOPENED;
+        idleTime = over ? Math.max(floor, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
         // Callers that heed a least rank send nothing below it: it rises while work is denied, and sinks back.
         level = denied ? Math.min(0.5, level + 0.02) : Math.max(0, level - 0.01);
