--- a/src/main/java/vetchrill/control/Deployment.java
+++ b/src/main/java/vetchrill/control/Deployment.java
@@ -6,7 +6,7 @@
 public final class Deployment {
     public enum Preemption { NONE, DROP, PAUSE }
 
-    public enum Say { NOTHING, LEAST_RANK, TOKENS, BIAS }
+    public enum Say { NOTHING, LEAST_RANK, TOKENS }
 
     public List<EndpointGroup> groups;
     /** Exchanges a second within each customer's share, over all servers. */
@@ -26,7 +26,10 @@
     public Preemption preemption;
     public Say say;
     public boolean callsShared;
+    /** Calls in hand on average that are this server's part of what a shared dependency survives. */
     public double callsOut;
+    public long callsWindow;
+    public long callLingers;
     public boolean listFollowsHealth;
     public boolean cold;
     public double coldShare;
--- a/src/main/java/vetchrill/control/Exchange.java
+++ b/src/main/java/vetchrill/control/Exchange.java
@@ -24,9 +24,6 @@
     /** Core time it is said to need; 0 where nothing is said. */
     public long work;
     public double kb;
-    public double rank;
-    /** A further try, as marked by the caller. */
-    public boolean resent;
     /** It repeats a remembered exchange; {@code prior} is that one, or null when it has long been forgotten. */
     public boolean repeat;
     public Exchange prior;
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -84,7 +84,7 @@
     private double runnable;
     private double connections;
     private double bound;
-    private boolean ticked = true;
+    private boolean ticked;
     private boolean asleep = true;
     private boolean sweep;
     private boolean judge;
@@ -98,6 +98,9 @@
     private final double[] customerRate;
     private double arrivalRate;
     private final double allowancePerServer;
+    private final ArrayDeque<Long> lingering = new ArrayDeque<>();
+    private int callsInHand;
+    private double callLoad;
     private double callsGood;
     private double callsBad;
     private boolean denied;
@@ -197,6 +200,10 @@
 
     public void callEnded(Exchange ex, Outcome outcome, long took, long now) {
         this.now = now;
+        callsInHand--;
+        if (outcome == Outcome.GIVEN_UP) {
+            lingering.add(now + told.callLingers);
+        }
         if (outcome == Outcome.COMPLETED) {
             callsGood++;
             callTime.add(took);
@@ -272,6 +279,10 @@
                 memory -= ex.kb * told.runGrowth;
             }
             case AT_CALL, CALLING -> {
+                if (ex.stage == Stage.CALLING) {
+                    callsInHand--;
+                    lingering.add(now + told.callLingers);
+                }
                 atCall.remove(ex);
                 memory -= ex.kb * told.runGrowth;
             }
@@ -327,6 +338,7 @@
         int open = held.size() + running.size() + atCall.size();
         tokens = denied ? Math.max(1, Math.min(tokens, (double) open / told.callers)) : Math.min(MANY, tokens * 1.05);
         denied = false;
+        callLoad += (callsInHand + lingering.size() - callLoad) * PERIOD / Math.max(PERIOD, told.callsWindow);
         double fade = 0.9;
         arrivalRate *= fade;
         callsGood *= fade;
@@ -493,13 +505,34 @@
                 return true;
             }
             long until = latest > now ? latest : ex.due - AHEAD;
+            if (!shareLeft()) {
+                if (optional) {
+                    backFromCall(ex);
+                    host.leaveOut(ex);
+                    return true;
+                }
+                continue;
+            }
             ex.stage = Stage.CALLING;
+            callsInHand++;
             host.call(ex, until);
             return true;
         }
         return false;
     }
 
+    /** What all servers call together survives if each keeps to its own part, given-up calls included. */
+    private boolean shareLeft() {
+        if (!told.callsShared) {
+            return true;
+        }
+        while (!lingering.isEmpty() && lingering.peek() <= now) {
+            lingering.poll();
+        }
+        int inHand = callsInHand + lingering.size();
+        return inHand + 1 <= told.callsOut || inHand == 0 && callLoad < told.callsOut / 2;
+    }
+
     private double expect(Exchange ex) {
         if (ex.work > 0) {
             return ex.work * pace.mean(150) / 100;
@@ -604,6 +637,7 @@
         ex.paused = false;
         ex.ran = true;
         ex.begun = now;
+        ex.atCalls = 0;
         host.begin(ex);
         return true;
     }
--- a/src/main/java/vetchrill/wire/DeploymentReader.java
+++ b/src/main/java/vetchrill/wire/DeploymentReader.java
@@ -56,11 +56,12 @@
         d.say = switch (info.path("say").asText("off")) {
             case "min_rank" -> Deployment.Say.LEAST_RANK;
             case "tokens" -> Deployment.Say.TOKENS;
-            case "bias" -> Deployment.Say.BIAS;
             default -> Deployment.Say.NOTHING;
         };
         d.callsShared = "common".equals(info.path("below").asText());
         d.callsOut = info.path("callsOut").asDouble();
+        d.callsWindow = tenths(info, "depWindowMs", 0);
+        d.callLingers = tenths(info, "staysForMs", 0);
         d.listFollowsHealth = info.path("listFollows").asBoolean();
         d.cold = info.path("cold").asBoolean();
         d.coldShare = rules.path("coldShare").asDouble(1);
--- a/src/main/java/vetchrill/wire/Door.java
+++ b/src/main/java/vetchrill/wire/Door.java
@@ -55,8 +55,6 @@
         long leaves = 0;
         long work = 0;
         double kb = 0;
-        double rank = 0;
-        boolean resent = false;
         while (line.nextField()) {
             if (line.keyIs("rid")) {
                 id = line.whole();
@@ -70,10 +68,6 @@
                 work = line.tenths();
             } else if (line.keyIs("sizeKb")) {
                 kb = line.number();
-            } else if (line.keyIs("prio")) {
-                rank = line.number();
-            } else if (line.keyIs("resent")) {
-                resent = line.valueIs("1");
             } else if (line.keyIs("waitedMs")) {
                 waited = line.number();
             } else if (line.keyIs("repeats")) {
@@ -99,8 +93,6 @@
         arrived.callerLeaves = leaves;
         arrived.work = work;
         arrived.kb = kb;
-        arrived.rank = rank;
-        arrived.resent = resent;
         arrived.repeat = prior != 0;
         arrived.prior = prior == 0 ? null : byId.get(prior);
         byId.put(id, arrived);
--- /dev/null
+++ b/src/test/java/vetchrill/control/DecisionsTest.java
@@ -0,0 +1,260 @@
+package vetchrill.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+import vetchrill.control.Exchange.Outcome;
+
+/** The ordinary path of the design, and each exception that a bad day asked for. */
+public class DecisionsTest {
+    private static final long MS = Story.MS;
+    private static final long SECOND = Story.SECOND;
+
+    @Test
+    public void idleTimeHalvesPastTheThresholdAndReturnsInSteps() {
+        Story s = new Story();
+        s.connections = 10;
+        s.cpu = 1;
+        assertTrue(s.pass(200 * MS).containsAll(List.of("idle 50000", "idle 25000")));
+        s.pass(2 * SECOND);
+        s.cpu = 0.5;
+        List<String> back = s.pass(300 * MS);
+        assertTrue(back.containsAll(List.of("idle 2100", "idle 4100")), back.toString());
+        assertTrue(s.pass(10 * SECOND).contains("idle 100000"));
+    }
+
+    @Test
+    public void idleTimeIsCutLessWhereEachClosingIsOpenedAgain() {
+        Story s = new Story();
+        s.connections = 2;
+        List<String> acts = s.pass(3 * SECOND);
+        assertEquals(acts.get(acts.size() - 1), "idle 5000");
+    }
+
+    @Test
+    public void theBoundGrowsWhileCoresIdleAndStopsWhenRunsWantMoreThanThereAre() {
+        Story s = new Story();
+        s.cpu = 0.5;
+        for (int i = 0; i < 20; i++) {
+            s.arrives("ex", s.read);
+        }
+        assertEquals(s.pass(400 * MS).stream().filter("begin ex"::equals).count(), 6);
+        s.runnable = 20;
+        assertFalse(s.pass(400 * MS).contains("begin ex"));
+    }
+
+    @Test
+    public void oldestFirstWhileAllCanMakeIt() {
+        Story s = new Story();
+        s.usualRuns(s.read, 3, 100 * MS);
+        Exchange x = s.arrives("x", s.read);
+        s.arrives("y", s.read);
+        s.pass(10 * MS);
+        s.arrives("first", s.read);
+        s.pass(10 * MS);
+        s.arrives("dear", s.once);
+        s.completes(x);
+        assertEquals(s.decide(), List.of("begin first"));
+    }
+
+    @Test
+    public void theLeastBenefitForCoreTimeGoesOnceTheHoldOutlastsTheSloTimes() {
+        Story s = new Story();
+        s.usualRuns(s.read, 3, 800 * MS);
+        s.usualRuns(s.once, 3, 800 * MS);
+        s.arrives("x", s.read);
+        s.arrives("y", s.read);
+        for (int i = 0; i < 6; i++) {
+            s.arrives("cheap", s.read);
+        }
+        s.arrives("dear", s.once);
+        List<String> acts = s.decide();
+        assertTrue(acts.contains("deny cheap") && !acts.contains("deny dear"), acts.toString());
+    }
+
+    @Test
+    public void trafficBeyondACustomersShareGivesWayFirst() {
+        Story s = new Story();
+        s.told.allowance = new double[] {1, 20};
+        s.usualRuns(s.read, 3, 800 * MS);
+        s.arrives("x", s.read);
+        s.arrives("y", s.read);
+        for (int i = 0; i < 3; i++) {
+            s.arrives("beyond", s.read);
+            Exchange within = s.exchange("within", s.read);
+            within.customer = 1;
+            s.controller().arrived(within, s.now);
+        }
+        List<String> acts = s.decide();
+        assertTrue(acts.contains("deny beyond"), acts.toString());
+        assertTrue(acts.lastIndexOf("deny beyond") < acts.indexOf("deny within") || !acts.contains("deny within"));
+    }
+
+    @Test
+    public void nothingIsDeniedWhileAllCanStartAtOnce() {
+        Story s = new Story();
+        s.usualRuns(s.read, 3, 5 * SECOND);
+        s.arrives("huge", s.read);
+        assertTrue(s.decide().contains("begin huge"));
+    }
+
+    @Test
+    public void theTierBelowKeepsAShortHold() {
+        assertEquals(waiting(false).contains("deny third"), false);
+        assertEquals(waiting(true).contains("deny third"), true);
+    }
+
+    private static List<String> waiting(boolean below) {
+        Story s = new Story();
+        s.told.below = below;
+        s.usualRuns(s.read, 3, 500 * MS);
+        s.arrives("first", s.read);
+        s.arrives("second", s.read);
+        s.arrives("third", s.read);
+        return s.decide();
+    }
+
+    @Test
+    public void aFailedCallIsLeftOutWhereThatStillEarns() {
+        Story s = new Story();
+        s.read.benefitWithoutCall = 0.6;
+        Exchange a = s.arrives("a", s.read);
+        s.decide();
+        s.controller().wantsCall(a, s.now);
+        assertEquals(s.decide(), List.of("call a"));
+        s.controller().callEnded(a, Outcome.FULL, 0, s.now);
+        assertTrue(s.pass(400 * MS).contains("leave out a"));
+    }
+
+    @Test
+    public void aCallThatCanNotBeLeftOutIsMadeUntilTheSloTimeHasPassed() {
+        Story s = new Story();
+        s.usualRuns(s.once, 3, 1900 * MS);
+        Exchange a = s.arrives("a", s.once);
+        s.pass(1000 * MS);
+        s.controller().wantsCall(a, s.now);
+        assertEquals(s.decide(), List.of("call a"));
+    }
+
+    @Test
+    public void theCallersLeavingFreesOnlyWhatMayRunAgain() {
+        Story s = new Story();
+        s.told.preemption = Deployment.Preemption.PAUSE;
+        Exchange a = s.arrives("a", s.read);
+        Exchange b = s.arrives("b", s.post);
+        s.decide();
+        s.controller().callerLeft(a, s.now);
+        s.controller().callerLeft(b, s.now);
+        assertEquals(s.decide(), List.of("interrupt a"));
+    }
+
+    @Test
+    public void hungWorkTurnsTheHoldAwayAndHealthGoesBadForALimitedTime() {
+        Story s = new Story();
+        s.told.listFollowsHealth = true;
+        s.usualRuns(s.read, 3, 100 * MS);
+        Exchange a = s.arrives("a", s.read);
+        s.arrives("b", s.read);
+        s.arrives("waits", s.read);
+        List<String> acts = s.pass(900 * MS);
+        assertTrue(acts.containsAll(List.of("deny waits", "ill")), acts.toString());
+        acts = s.pass(5 * SECOND);
+        assertTrue(acts.contains("well"), acts.toString());
+        s.completes(a);
+        s.pass(100 * MS);
+        s.arrives("new", s.read);
+        assertTrue(s.decide().contains("begin new"));
+    }
+
+    @Test
+    public void aPauseOfTheWholeProcessIsNoHungWork() {
+        Story s = new Story();
+        s.told.listFollowsHealth = true;
+        s.usualRuns(s.read, 3, 100 * MS);
+        s.arrives("a", s.read);
+        s.arrives("b", s.read);
+        s.arrives("waits", s.read);
+        s.decide();
+        s.now += SECOND;
+        s.controller().gauges(1, 2, 0, s.now);
+        assertFalse(s.decide().stream().anyMatch(act -> act.equals("ill") || act.startsWith("deny")));
+    }
+
+    @Test
+    public void healthGoesBadWhereWhatIsReadIsTooLateButNotWhereAllAreFull() {
+        assertTrue(readLate(10).contains("ill"));
+        assertFalse(readLate(60).contains("ill"));
+    }
+
+    private static List<String> readLate(int aSecond) {
+        Story s = new Story();
+        List<String> acts = new ArrayList<>();
+        s.told.listFollowsHealth = true;
+        for (int i = 0; i < 4 * aSecond; i++) {
+            Exchange ex = s.exchange("ex", s.read);
+            ex.arrived = i < 2 * aSecond ? s.now - SECOND : s.now - 3 * SECOND;
+            s.controller().arrived(ex, s.now);
+            acts.addAll(s.pass(SECOND / aSecond));
+            if (!ex.over()) {
+                s.completes(ex);
+            }
+        }
+        return acts;
+    }
+
+    @Test
+    public void callersAreAskedToGiveUpOnlyWhereReadingIsDearAndArrivalsAreUp() {
+        assertTrue(flood(60, 200 * MS).contains("deny for good ex"));
+        assertFalse(flood(60, 2 * MS).contains("deny for good ex"), "reading is cheap, let it go elsewhere");
+        assertFalse(flood(8, 200 * MS).contains("deny for good ex"), "only this one is slow");
+    }
+
+    private static List<String> flood(int aSecond, long unread) {
+        Story s = new Story();
+        List<String> acts = new ArrayList<>();
+        s.usualRuns(s.read, 3, 600 * MS);
+        for (int i = 0; i < 2 * aSecond; i++) {
+            Exchange ex = s.exchange("ex", s.read);
+            ex.arrived = s.now - unread;
+            s.controller().arrived(ex, s.now);
+            acts.addAll(s.pass(SECOND / aSecond));
+        }
+        return acts;
+    }
+
+    @Test
+    public void tokensFallToWhatIsOutWhenWorkIsDeniedAndGrowBack() {
+        Story s = new Story();
+        s.told.say = Deployment.Say.TOKENS;
+        denySome(s);
+        List<String> acts = s.pass(600 * MS);
+        acts.removeIf(act -> !act.startsWith("say"));
+        assertEquals(acts, List.of("say 2.0", "say 2.2", "say 2.4"));
+    }
+
+    @Test
+    public void theLeastRankRisesWhileWorkIsDenied() {
+        Story s = new Story();
+        s.told.say = Deployment.Say.LEAST_RANK;
+        List<String> acts = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            denySome(s);
+            acts.addAll(s.pass(100 * MS));
+        }
+        assertTrue(acts.contains("say 0.1"), acts.toString());
+        acts = s.pass(2 * SECOND);
+        assertTrue(acts.contains("say 0.0"), acts.toString());
+    }
+
+    private static void denySome(Story s) {
+        s.read.onCore.add(600 * MS);
+        for (int i = 0; i < 10; i++) {
+            s.arrives("ex", s.read);
+        }
+        assertTrue(s.decide().contains("deny ex"));
+    }
+}
