--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -58,6 +58,8 @@
     private static final long ILL = 50_000;
     /** Arrivals this many times what was told as this server's part of all shares: others are full as well. */
     private static final double ARRIVALS_UP = 1.3;
+    /** Completions for each arrival under which a server that reads too late might as well be gone. */
+    private static final double USELESS = 0.1;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
@@ -97,6 +99,7 @@
     private long idleSaid;
     private final double[] customerRate;
     private double arrivalRate;
+    private double completionRate;
     private final double allowancePerServer;
     private final ArrayDeque<Long> lingering = new ArrayDeque<>();
     private int callsInHand;
@@ -165,6 +168,7 @@
         judge = true;
         progressAt = now;
         if (outcome == Outcome.COMPLETED && ex.stage == Stage.RUNNING) {
+            completionRate++;
             long onCore = Math.max(1, took - ex.atCalls);
             ex.group.onCore.add(onCore);
             this.onCore.add(onCore);
@@ -320,9 +324,10 @@
         bound = Math.min(bound, Math.max(1, crowd()));
         stuck = !running.isEmpty()
                 && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
-        // What is read is already too late although no more is read than usual: this machine is slow, all that comes
-        // here is lost, and no denial reaches its caller in time. Where more is read than usual, others are full too.
-        boolean swamped = unread > shortestSlo && arrivalRate < ARRIVALS_UP * allowancePerServer;
+        // What is read is already too late, so that no denial reaches its caller in time. Either no more is read than
+        // usual, and only this machine is slow; or next to nothing is completed any more, and nothing is lost by it.
+        boolean swamped = unread > shortestSlo && (arrivalRate < ARRIVALS_UP * allowancePerServer
+                || completionRate < USELESS * arrivalRate);
         if ((stuck || swamped) && now >= illUntil + ILL / 4) {
             illUntil = now + ILL;
             unread = 0;
@@ -341,6 +346,7 @@
         callLoad += (callsInHand + lingering.size() - callLoad) * PERIOD / Math.max(PERIOD, told.callsWindow);
         double fade = 0.9;
         arrivalRate *= fade;
+        completionRate *= fade;
         callsGood *= fade;
         callsBad *= fade;
         for (int i = 0; i < customerRate.length; i++) {
