While exchanges wait half of the SLO time unread, the bound falls to half the core count

Cause: with 6 runs on 6 cores reading gets half of them; what waits unread times out and comes again. Also guards against any storm of tries where reading is dear; harm: a server whose reading alone is slow runs less than it could.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -60,6 +60,9 @@
     private static final double ARRIVALS_UP = 1.3;
     /** Completions for each arrival under which a server that reads too late might as well be gone. */
     private static final double USELESS = 0.1;
+    /** Waiting unread for this part of the shortest SLO time takes runs off the cores, down to so many for each. */
+    private static final double JAM = 2;
+    private static final double LEAST_RUNS = 0.5;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
@@ -321,6 +324,13 @@
         } else if (runnable > CROWDED * told.cores && bound > told.cores) {
             bound--;
         }
+        // Runs and reading share the cores: once exchanges wait long unread their callers time out and try again,
+        // which ends in a server that only reads. Fewer runs let it deny in time.
+        if (unread > shortestSlo / JAM) {
+            bound = Math.max(LEAST_RUNS * told.cores, bound - 1);
+        } else if (bound < told.cores && unread < shortestSlo / JAM / 2) {
+            bound++;
+        }
         bound = Math.min(bound, Math.max(1, crowd()));
         stuck = !running.isEmpty()
                 && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
