--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -61,8 +61,8 @@
     /** Completions for each arrival under which a server that reads too late might as well be gone. */
     private static final double USELESS = 0.1;
     /** Waiting unread for this part of the shortest SLO time takes runs off the cores, down to so many for each. */
-    private static final double JAM = 2;
-    private static final double LEAST_RUNS = 0.5;
+    private static final double JAM = 4;
+    private static final double LEAST_RUNS = 0.2;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
