A server whose runs mostly fail denies all but a probe, so that others can run it

Also guards against a bad release or a full disk on one server; harm: where the input itself makes most runs fail, work is denied that would fail anyway.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -60,6 +60,9 @@
     private static final double ARRIVALS_UP = 1.3;
     /** Completions for each arrival under which a server that reads too late might as well be gone. */
     private static final double USELESS = 0.1;
+    /** More failed runs than this, and than completed ones, of late: this server fails what it runs. */
+    private static final double FAILURES = 3;
+    private static final double RUNS_FADE = 0.97;
     /** What was waited unread fades at each look, as a server that gets nothing any more hears nothing better. */
     private static final double UNREAD_FADES = 0.98;
     /** Waiting unread for this part of the shortest SLO time takes runs off the cores, down to so many for each. */
@@ -118,6 +121,9 @@
     /** When a run last got anywhere, or the first of them began. */
     private long progressAt;
     private boolean stuck;
+    private boolean failing;
+    private double runsGood;
+    private double runsBad;
     private final long shortestSlo;
     private double unread;
     private long illUntil = Long.MIN_VALUE;
@@ -172,8 +178,12 @@
         this.now = now;
         judge = true;
         progressAt = now;
+        if (outcome == Outcome.ERRORED && ex.stage == Stage.RUNNING) {
+            runsBad++;
+        }
         if (outcome == Outcome.COMPLETED && ex.stage == Stage.RUNNING) {
             completionRate++;
+            runsGood++;
             long onCore = Math.max(1, took - ex.atCalls);
             ex.group.onCore.add(onCore);
             this.onCore.add(onCore);
@@ -340,7 +350,9 @@
         // usual, and only this machine is slow; or next to nothing is completed any more, and nothing is lost by it.
         boolean swamped = unread > shortestSlo && (arrivalRate < ARRIVALS_UP * allowancePerServer
                 || completionRate < USELESS * arrivalRate);
-        if ((stuck || swamped) && now >= illUntil + ILL / 4) {
+        // Runs that fail at once make room for more: such a server would draw what others could complete.
+        failing = runsBad > FAILURES && runsBad > runsGood;
+        if ((stuck || swamped || failing) && now >= illUntil + ILL / 4) {
             illUntil = now + ILL;
         }
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
@@ -359,6 +371,8 @@
         arrivalRate *= fade;
         completionRate *= fade;
         unread *= UNREAD_FADES;
+        runsGood *= RUNS_FADE;
+        runsBad *= RUNS_FADE;
         callsGood *= fade;
         callsBad *= fade;
         for (int i = 0; i < customerRate.length; i++) {
@@ -595,7 +609,7 @@
         boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
         release(hopeless);
         if (neverRan) {
-            boolean allFull = !stuck && readingIsDear() && arrivalRate / allowancePerServer > ARRIVALS_UP * (0.8 + 0.4 * chance.nextDouble());
+            boolean allFull = !stuck && !failing && readingIsDear() && arrivalRate / allowancePerServer > ARRIVALS_UP * (0.8 + 0.4 * chance.nextDouble());
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
             host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
@@ -617,7 +631,8 @@
         double slots = Math.max(1, Math.min(bound, crowd()));
         boolean roomy = running.size() + line.size() <= (int) bound;
         for (Exchange ex : line) {
-            if (stuck) {
+            boolean probe = ex.group.effect == Effect.REPEATABLE && ex == line.get(0) && running.isEmpty();
+            if (stuck || failing && !probe) {
                 return ex;
             }
             boolean rerun = ex.ran && !ex.paused && ex.group.effect != Effect.REPEATABLE;
