--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -361,7 +361,7 @@
         idleTime = over ? Math.max(floor, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
         // Callers that heed a least rank send nothing below it: it rises while work is denied, and sinks back.
-        level = stuck || failing ? 1 : denied ? Math.min(0.5, level + 0.02) : Math.max(0, Math.min(0.5, level - 0.01));
+        level = denied ? Math.min(0.5, level + 0.02) : Math.max(0, level - 0.01);
         // What is out here when work has to be denied is all that callers may have out here; then it grows back.
         int open = held.size() + running.size() + atCall.size();
         tokens = denied ? Math.max(1, Math.min(tokens, (double) open / told.callers)) : Math.min(MANY, tokens * 1.05);
@@ -610,8 +610,7 @@
         release(hopeless);
         if (neverRan) {
             boolean allFull = !stuck && !failing && readingIsDear() && arrivalRate / allowancePerServer > ARRIVALS_UP * (0.8 + 0.4 * chance.nextDouble());
-            long away = stuck || failing ? told.longestAway
-                    : LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
+            long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
             host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
             host.terminate(hopeless);
