--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -54,12 +54,15 @@
      */
     private static final long STUCK_LEAST = 5000;
     private static final double STUCK_RUNS = 4;
-    /** Bad health lasts no longer; a quarter of it passes before the next time, lest a fleet go dark together. */
+    /** Bad health lasts no longer; so long passes before the next time, lest a fleet go dark together. */
     private static final long ILL = 50_000;
+    private static final long ILL_GAP = 12_500;
     /** Arrivals this many times what was told as this server's part of all shares: others are full as well. */
     private static final double ARRIVALS_UP = 1.3;
     /** Completions for each arrival under which a server that reads too late might as well be gone. */
     private static final double USELESS = 0.1;
+    /** Cores this idle in bad health have caught up: staying away longer only crowds the others. */
+    private static final double RECOVERED = 0.6;
     /** More failed runs than this, and than completed ones, of late: this server fails what it runs. */
     private static final double FAILURES = 3;
     private static final double RUNS_FADE = 0.97;
@@ -352,8 +355,10 @@
                 || completionRate < USELESS * arrivalRate);
         // Runs that fail at once make room for more: such a server would draw what others could complete.
         failing = runsBad > FAILURES && runsBad > runsGood;
-        if ((stuck || swamped || failing) && now >= illUntil + ILL / 4) {
+        if ((stuck || swamped || failing) && now >= illUntil + ILL_GAP) {
             illUntil = now + ILL;
+        } else if (now < illUntil && cpu < RECOVERED && !stuck && !failing) {
+            illUntil = now;
         }
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
         // A caller keeps coming back: with no more than one connection for each, what is closed is opened again.
