--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -351,7 +351,7 @@
                 && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
         // What is read is already too late, so that no denial reaches its caller in time. Either no more is read than
         // usual, and only this machine is slow; or next to nothing is completed any more, and nothing is lost by it.
-        boolean swamped = unread > shortestSlo && (arrivalRate < ARRIVALS_UP * allowancePerServer
+        boolean swamped = unread > shortestSlo && (arrivalRate < allowancePerServer
                 || completionRate < USELESS * arrivalRate);
         // Runs that fail at once make room for more: such a server would draw what others could complete.
         failing = runsBad > FAILURES && runsBad > runsGood;
