--- a/src/main/java/vetchrill/control/Exchange.java
+++ b/src/main/java/vetchrill/control/Exchange.java
@@ -1,6 +1,6 @@
 package vetchrill.control;
 
-/** One exchange read by this instance, with what is known of it. The first block is set by whoever reads it. */
+/** One exchange read by this instance, and what is known of it. Whoever reads it sets the public fields. */
 public class Exchange {
     public enum Stage { HELD, RUNNING, AT_CALL, CALLING, REPLAYING, OVER }
 
@@ -24,7 +24,7 @@
     /** Core time it is said to need; 0 where nothing is said. */
     public long work;
     public double kb;
-    /** It repeats a remembered exchange; {@code prior} is that one, or null when it has long been forgotten. */
+    /** It repeats a remembered exchange: {@code prior}, or null when that has long been forgotten. */
     public boolean repeat;
     public Exchange prior;
 
--- a/src/main/java/vetchrill/control/Host.java
+++ b/src/main/java/vetchrill/control/Host.java
@@ -5,7 +5,7 @@
     /** Starts a held exchange, or lets a paused one go on. */
     void begin(Exchange ex);
 
-    /** Final answer: turned away, promising that it never ran. {@code away} is advice to stay away, 0 for none. */
+    /** Final answer: turned away, promising that it never ran; {@code away} as advice, 0 for none. */
     void deny(Exchange ex, long away, boolean giveUp);
 
     /** Final answer: error, without a promise. */
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -27,9 +27,9 @@
     private static final double WATERMARK = 0.85;
     /** Part of the memory past which the hold itself gives way; the rest is for what is read in one tick. */
     private static final double HOLD_MARK = 0.92;
-    /** Running and at calls together, for each core, where returning calls can be taken off the cores again. */
+    /** Running and at calls for each core, where returning calls can be taken off the cores again. */
     private static final int AT_CALLS_PER_CORE = 12;
-    /** Part of the SLO time that may pass in the hold: the wait is only guessed, and the next server may be free. */
+    /** Part of the SLO time spent in the hold at most: waits are guessed, and the next server may be free. */
     private static final double PATIENCE = 0.6;
     /** The same where the callers are servers that have a hold of their own and can often do without. */
     private static final double PATIENCE_BELOW = 0.15;
@@ -49,15 +49,15 @@
     /** As many exchanges for each caller as if nothing were said. */
     private static final double MANY = 1000;
     /**
-     * No run got anywhere for this long, and for this many usual runs: the work hangs, and waiting is no use. Where
-     * every core is on a huge exchange this turns work away for nothing, until one of them is done.
+     * No run got anywhere for this long, and for this many usual runs: the work hangs, waiting is no use.
+     * Where every core is on a huge exchange this turns work away for nothing, until one of them is done.
      */
     private static final long STUCK_LEAST = 5000;
     private static final double STUCK_RUNS = 4;
     /** Bad health lasts no longer; so long passes before the next time, lest a fleet go dark together. */
     private static final long ILL = 50_000;
     private static final long ILL_GAP = 12_500;
-    /** Arrivals this many times what was told as this server's part of all shares: others are full as well. */
+    /** Arrivals this many times this server's part of all told shares: others are full as well. */
     private static final double ARRIVALS_UP = 1.3;
     /** Completions for each arrival under which a server that reads too late might as well be gone. */
     private static final double USELESS = 0.1;
@@ -66,11 +66,18 @@
     /** More failed runs than this, and than completed ones, of late: this server fails what it runs. */
     private static final double FAILURES = 3;
     private static final double RUNS_FADE = 0.97;
-    /** What was waited unread fades at each look, as a server that gets nothing any more hears nothing better. */
+    /** The wait unread fades at each look: a server that gets nothing any more hears nothing better. */
     private static final double UNREAD_FADES = 0.98;
-    /** Waiting unread for this part of the shortest SLO time takes runs off the cores, down to so many for each. */
+    /** Waiting unread for a half of the shortest SLO time lowers the bound, down to so many for each core. */
     private static final double JAM = 2;
     private static final double LEAST_RUNS = 0.5;
+    /** Reading that costs more than this part of a run makes a denial that roams dear for everyone. */
+    private static final double READING_DEAR = 0.12;
+    /** Steps of the free value at each look; a least rank past the top leaves the dearest ranks alone. */
+    private static final double TOKENS_GROW = 1.05;
+    private static final double LEVEL_UP = 0.02;
+    private static final double LEVEL_DOWN = 0.01;
+    private static final double LEVEL_TOP = 0.5;
     /** A denied caller is asked to stay away at least this long. */
     private static final long LEAST_AWAY = 2000;
 
@@ -163,7 +170,8 @@
         EndpointGroup group = ex.group;
         ex.due = ex.callerLeaves > 0 ? ex.callerLeaves : ex.arrived + group.asyncTimeout;
         ex.startBy = ex.arrived + (long) ((told.below ? PATIENCE_BELOW : PATIENCE) * group.sloTime);
-        ex.sloAt = ex.arrived + Math.min(group.asyncTimeout, group.sloTime + (long) (group.sloStretch * ex.work));
+        long slo = group.sloTime + (long) (group.sloStretch * ex.work);
+        ex.sloAt = ex.arrived + Math.min(group.asyncTimeout, slo);
         held.add(ex);
         fresh.add(ex);
         memory += ex.kb;
@@ -327,8 +335,8 @@
             judge = true;
             steer();
         }
-        return wake(host) || recognise(host) || forget(host) || answerDue(host) || stopWork(host) || thin(host)
-                || calls(host) || shed(host) || start(host) || advise(host);
+        return wake(host) || recognise(host) || forget(host) || answerDue(host) || stopWork(host)
+                || thin(host) || calls(host) || shed(host) || start(host) || advise(host);
     }
 
     private void steer() {
@@ -339,7 +347,7 @@
         } else if (runnable > CROWDED * told.cores && bound > told.cores) {
             bound--;
         }
-        // Runs and reading share the cores: once exchanges wait long unread their callers time out and try again,
+        // Runs and reading share the cores: once exchanges wait long unread, callers time out and try again,
         // which ends in a server that only reads. Fewer runs let it deny in time.
         if (unread > shortestSlo / JAM) {
             bound = Math.max(LEAST_RUNS * told.cores, bound - 1);
@@ -349,9 +357,9 @@
         bound = Math.min(bound, Math.max(1, crowd()));
         stuck = !running.isEmpty()
                 && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
-        // What is read is already too late, so that no denial reaches its caller in time. Either no more is read than
-        // usual, and only this machine is slow; or next to nothing is completed any more, and nothing is lost by it.
-        boolean swamped = unread > shortestSlo && (arrivalRate < allowancePerServer
+        // What is read is already too late, so that no denial reaches its caller in time. Either no more than
+        // usual is read, and only this machine is slow; or next to nothing is completed, and none is lost.
+        boolean swamped = unread > shortestSlo && (arrivalRate < ARRIVALS_UP * allowancePerServer
                 || completionRate < USELESS * arrivalRate);
         // Runs that fail at once make room for more: such a server would draw what others could complete.
         failing = runsBad > FAILURES && runsBad > runsGood;
@@ -361,15 +369,16 @@
             illUntil = now;
         }
         boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
-        // A caller keeps coming back: with no more than one connection for each, what is closed is opened again.
+        // A caller keeps coming back: with one connection for each at most, what is closed is opened again.
         long floor = connections > told.callers ? SHORTEST_IDLE : told.callerIdleTime / REOPENED;
         idleTime = over ? Math.max(floor, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
-        // Callers that heed a least rank send nothing below it: it rises while work is denied, and sinks back.
-        level = denied ? Math.min(0.5, level + 0.02) : Math.max(0, level - 0.01);
-        // What is out here when work has to be denied is all that callers may have out here; then it grows back.
+        // Callers that heed a least rank send nothing below it: it rises while work is denied and sinks.
+        level = denied ? Math.min(LEVEL_TOP, level + LEVEL_UP) : Math.max(0, level - LEVEL_DOWN);
+        // What is out here when work has to be denied is all that callers may have here; it grows back.
         int open = held.size() + running.size() + atCall.size();
-        tokens = denied ? Math.max(1, Math.min(tokens, (double) open / told.callers)) : Math.min(MANY, tokens * 1.05);
+        tokens = denied ? Math.max(1, Math.min(tokens, (double) open / told.callers))
+                : Math.min(MANY, tokens * TOKENS_GROW);
         denied = false;
         callLoad += (callsInHand + lingering.size() - callLoad) * PERIOD / Math.max(PERIOD, told.callsWindow);
         double fade = 0.9;
@@ -410,7 +419,7 @@
         return true;
     }
 
-    /** No effect twice: each deduplicated exchange is known from its reading on, and its repeats answered from it. */
+    /** No effect twice: a deduplicated exchange is known once read, its repeats are answered from it. */
     private boolean recognise(Host host) {
         while (!fresh.isEmpty()) {
             Exchange ex = fresh.poll();
@@ -442,7 +451,7 @@
         return prior == null || prior.ran || prior.stage != Stage.OVER;
     }
 
-    /** What was turned away before it ran leaves no trace, or its repeat would be answered with its failure. */
+    /** What was denied before it ran leaves no trace, or its repeat would be answered with its failure. */
     private boolean forget(Host host) {
         while (!toForget.isEmpty()) {
             Exchange ex = toForget.poll();
@@ -502,7 +511,7 @@
     }
 
     /**
-     * Calls that come back together could crowd the cores past what they survive, whatever held them up below:
+     * Calls that come back together could crowd the cores past what they survive, whatever held them up:
      * the latest begun go back to the hold. With DROP this costs their work.
      */
     private boolean thin(Host host) {
@@ -614,7 +623,8 @@
         boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
         release(hopeless);
         if (neverRan) {
-            boolean allFull = !stuck && !failing && readingIsDear() && arrivalRate / allowancePerServer > ARRIVALS_UP * (0.8 + 0.4 * chance.nextDouble());
+            boolean allFull = !stuck && !failing && readingIsDear()
+                    && arrivalRate > ARRIVALS_UP * (0.8 + 0.4 * chance.nextDouble()) * allowancePerServer;
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
             host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
@@ -625,7 +635,7 @@
 
     /** What a denied exchange costs each server it goes on to, told by how long exchanges wait to be read. */
     private boolean readingIsDear() {
-        return reading.quantile(0.25, 0) > 0.12 * onCore.mean(Double.MAX_VALUE);
+        return reading.quantile(0.25, 0) > READING_DEAR * onCore.mean(Double.MAX_VALUE);
     }
 
     private Exchange firstHopeless() {
--- a/src/main/java/vetchrill/wire/Door.java
+++ b/src/main/java/vetchrill/wire/Door.java
@@ -103,7 +103,8 @@
     Exchange known(LineParser line, long id) {
         Exchange ex = byId.get(id);
         if (ex == null) {
-            throw line.fault("'" + line.name() + "' names an rid never given to instance " + instance + ": " + id);
+            throw line.fault("'" + line.name() + "' names an rid never given to instance " + instance
+                    + ": " + id);
         }
         return ex.over() ? null : ex;
     }
@@ -115,7 +116,8 @@
                 n = line.row(gauges);
             }
         }
-        controller.gauges(gauge(facts.cpuAt, n), gauge(facts.runnableAt, n), gauge(facts.connectionsAt, n), now);
+        double connections = gauge(facts.connectionsAt, n);
+        controller.gauges(gauge(facts.cpuAt, n), gauge(facts.runnableAt, n), connections, now);
     }
 
     private double gauge(int at, int n) {
--- a/src/main/java/vetchrill/wire/WireHost.java
+++ b/src/main/java/vetchrill/wire/WireHost.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 import vetchrill.control.Exchange;
 
-/** Speaks the wire: hands each event to its instance as it is read, and asks for decisions once a batch ends. */
+/** Speaks the wire: hands each event to its instance as it is read, asks for decisions when a batch ends. */
 public final class WireHost {
     private final LineParser line;
     private final OutputStream out;
