--- a/src/main/java/vetchrill/control/Histogram.java
+++ b/src/main/java/vetchrill/control/Histogram.java
@@ -27,10 +27,6 @@
         }
     }
 
-    float total() {
-        return total;
-    }
-
     double mean(double ifEmpty) {
         if (total == 0) {
             return ifEmpty;
--- a/src/test/java/vetchrill/control/DecisionsTest.java
+++ b/src/test/java/vetchrill/control/DecisionsTest.java
@@ -235,6 +235,21 @@
         return acts;
     }
 
+    @Test
+    public void badHealthEndsOnceTheCoresHaveCaughtUp() {
+        Story s = new Story();
+        s.told.listFollowsHealth = true;
+        for (int i = 0; i < 30; i++) {
+            Exchange ex = s.exchange("ex", s.read);
+            ex.arrived = s.now - 5 * SECOND;
+            s.controller().arrived(ex, s.now);
+        }
+        assertTrue(s.pass(100 * MS).contains("ill"));
+        assertFalse(s.pass(SECOND).contains("well"));
+        s.cpu = 0.3;
+        assertTrue(s.pass(100 * MS).contains("well"));
+    }
+
     @Test
     public void runsGiveWayToReadingWhileExchangesWaitLongUnread() {
         Story s = new Story();
