Fold checks that stood twice, and let no list of lingering calls grow unread

One check says what may be denied (it stood three times), one what forgetting a key gives back, one what the end of a call leaves behind; the tests share their late arrivals. Calls that linger below are noted only where a dependency is shared: elsewhere nothing took them off the list again. No decision changes.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -209,8 +209,8 @@
         if (owed) {
             ex.stage = Stage.HELD;
             held.add(ex);
-            memory += told.preemption == Deployment.Preemption.PAUSE ? ex.kb * told.runGrowth : ex.kb;
             ex.paused = told.preemption == Deployment.Preemption.PAUSE;
+            memory += ex.paused ? ex.kb * told.runGrowth : ex.kb;
         }
     }
 
@@ -230,10 +230,7 @@
 
     public void callEnded(Exchange ex, Outcome outcome, long took, long now) {
         this.now = now;
-        callsInHand--;
-        if (outcome == Outcome.GIVEN_UP) {
-            lingering.add(now + told.callLingers);
-        }
+        callOver(outcome == Outcome.GIVEN_UP);
         if (outcome == Outcome.COMPLETED) {
             callsGood++;
             callTime.add(took);
@@ -293,6 +290,14 @@
         running.add(ex);
     }
 
+    /** Where no dependency is shared nothing would ever take the lingering ones off again. */
+    private void callOver(boolean lingers) {
+        callsInHand--;
+        if (lingers && told.callsShared) {
+            lingering.add(now + told.callLingers);
+        }
+    }
+
     private void release(Exchange ex) {
         switch (ex.stage) {
             case HELD -> {
@@ -310,14 +315,11 @@
             }
             case AT_CALL, CALLING -> {
                 if (ex.stage == Stage.CALLING) {
-                    callsInHand--;
-                    lingering.add(now + told.callLingers);
+                    callOver(true);
                 }
                 atCall.remove(ex);
                 memory -= ex.kb * told.runGrowth;
             }
-            default -> {
-            }
         }
         ex.stage = Stage.OVER;
         if (ex.remembered && !ex.ran) {
@@ -393,11 +395,7 @@
             customerRate[i] *= fade;
         }
         while (!remembered.isEmpty() && remembered.peek().arrived + remembered.peek().group.window < now) {
-            Exchange ex = remembered.poll();
-            if (ex.remembered) {
-                ex.remembered = false;
-                memory -= told.keyKb;
-            }
+            dropKey(remembered.poll());
         }
     }
 
@@ -455,9 +453,7 @@
     private boolean forget(Host host) {
         while (!toForget.isEmpty()) {
             Exchange ex = toForget.poll();
-            if (ex.remembered) {
-                ex.remembered = false;
-                memory -= told.keyKb;
+            if (dropKey(ex)) {
                 host.forget(ex);
                 return true;
             }
@@ -465,6 +461,13 @@
         return false;
     }
 
+    private boolean dropKey(Exchange ex) {
+        boolean was = ex.remembered;
+        ex.remembered = false;
+        memory -= was ? told.keyKb : 0;
+        return was;
+    }
+
     /** Every exchange has its answer by its due time, and all of them before the stop. */
     private boolean answerDue(Host host) {
         if (!sweep) {
@@ -483,9 +486,14 @@
         return false;
     }
 
+    /** A denial promises that it never ran; what may not be denied may not be begun afresh either. */
+    private static boolean mayBeDenied(Exchange ex) {
+        return !ex.ran || ex.group.effect == Effect.REPEATABLE;
+    }
+
     private void giveUp(Exchange ex, Host host) {
         ex.answered = true;
-        if (ex.stage == Stage.HELD && !(ex.ran && ex.group.effect != Effect.REPEATABLE)) {
+        if (ex.stage == Stage.HELD && mayBeDenied(ex)) {
             release(ex);
             host.deny(ex, told.longestAway, false);
             return;
@@ -620,9 +628,8 @@
         }
         denied = true;
         hopeless.answered = true;
-        boolean neverRan = !hopeless.ran || hopeless.group.effect == Effect.REPEATABLE;
         release(hopeless);
-        if (neverRan) {
+        if (mayBeDenied(hopeless)) {
             boolean allFull = !stuck && !failing && readingIsDear()
                     && arrivalRate > ARRIVALS_UP * (0.8 + 0.4 * chance.nextDouble()) * allowancePerServer;
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
@@ -650,8 +657,7 @@
             if (stuck || failing && !probe) {
                 return ex;
             }
-            boolean rerun = ex.ran && !ex.paused && ex.group.effect != Effect.REPEATABLE;
-            if (rerun || leaving && ex.arrived > graceUntil) {
+            if (!mayBeDenied(ex) && !ex.paused || leaving && ex.arrived > graceUntil) {
                 return ex;
             }
             double own = expect(ex) + ex.group.atCalls.mean(0);
--- a/src/test/java/vetchrill/control/DecisionsTest.java
+++ b/src/test/java/vetchrill/control/DecisionsTest.java
@@ -235,15 +235,19 @@
         return acts;
     }
 
-    @Test
-    public void badHealthEndsOnceTheCoresHaveCaughtUp() {
-        Story s = new Story();
-        s.told.listFollowsHealth = true;
+    private static void thirtyReadLate(Story s, long unread) {
         for (int i = 0; i < 30; i++) {
             Exchange ex = s.exchange("ex", s.read);
-            ex.arrived = s.now - 5 * SECOND;
+            ex.arrived = s.now - unread;
             s.controller().arrived(ex, s.now);
         }
+    }
+
+    @Test
+    public void badHealthEndsOnceTheCoresHaveCaughtUp() {
+        Story s = new Story();
+        s.told.listFollowsHealth = true;
+        thirtyReadLate(s, 5 * SECOND);
         assertTrue(s.pass(100 * MS).contains("ill"));
         assertFalse(s.pass(SECOND).contains("well"));
         s.cpu = 0.3;
@@ -253,11 +257,7 @@
     @Test
     public void runsGiveWayToReadingWhileExchangesWaitLongUnread() {
         Story s = new Story();
-        for (int i = 0; i < 30; i++) {
-            Exchange ex = s.exchange("ex", s.read);
-            ex.arrived = s.now - 2500 * MS;
-            s.controller().arrived(ex, s.now);
-        }
+        thirtyReadLate(s, 2500 * MS);
         s.pass(300 * MS);
         s.arrives("a", s.once);
         s.arrives("b", s.once);
