Marked further tries tell that other servers are full, whatever the size of the fleet

Cause: asking a denied caller to give up rested on dear reading and on arrivals over about a second against the told allowance. The part of further tries among the last twenty arrivals is small while only this server is short, at any number of servers. Also folds the remaining time of a run and leaving a call out, which stood twice. Guards against: anything that lets one group of servers fill up alone. Harm: callers that try again after a denial of their own, without a server being full.

--- a/src/main/java/vetchrill/control/Deployment.java
+++ b/src/main/java/vetchrill/control/Deployment.java
@@ -17,6 +17,7 @@
     public int callers;
     /** Its callers are servers of the tier above, with holds of their own. */
     public boolean below;
+    public boolean marksFurtherTries;
     public int cores;
     public double memoryKb;
     public double runGrowth;
--- a/src/main/java/vetchrill/control/Exchange.java
+++ b/src/main/java/vetchrill/control/Exchange.java
@@ -24,6 +24,8 @@
     /** Core time it is said to need; 0 where nothing is said. */
     public long work;
     public double kb;
+    /** It was tried before, here or elsewhere; never set where further tries are not marked. */
+    public boolean furtherTry;
     /** It repeats a remembered exchange: {@code prior}, or null when that has long been forgotten. */
     public boolean repeat;
     public Exchange prior;
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -73,6 +73,10 @@
     private static final double LEAST_RUNS = 0.5;
     /** Reading that costs more than this part of a run makes a denial that roams dear for everyone. */
     private static final double READING_DEAR = 0.12;
+    /** Part of the arrivals that were turned away elsewhere, over so many of them, at which all are full. */
+    private static final double TURNED_AWAY_SOME = 0.1;
+    private static final double TURNED_AWAY_MANY = 0.4;
+    private static final double MEMORY_OF_TRIES = 0.05;
     /** Steps of the free value at each look; a least rank past the top leaves the dearest ranks alone. */
     private static final double TOKENS_GROW = 1.05;
     private static final double LEVEL_UP = 0.02;
@@ -117,6 +121,7 @@
     private long idleSaid;
     private final double[] customerRate;
     private double arrivalRate;
+    private double furtherTries;
     private double completionRate;
     private final double allowancePerServer;
     private final ArrayDeque<Long> lingering = new ArrayDeque<>();
@@ -178,6 +183,7 @@
         judge = true;
         sweep |= ex.due <= now + AHEAD;
         arrivalRate++;
+        furtherTries += MEMORY_OF_TRIES * ((ex.furtherTry ? 1 : 0) - furtherTries);
         reading.add(now - ex.arrived);
         unread += 0.1 * (now - ex.arrived - unread);
         if (ex.customer < customerRate.length) {
@@ -544,11 +550,9 @@
                 continue;
             }
             boolean optional = ex.group.benefitWithoutCall > 0;
-            double rest = Math.max(expect(ex) / 8, expect(ex) - (now - ex.begun - ex.atCalls));
-            long latest = ex.sloAt - WAY_BACK - (optional ? (long) rest : 0);
-            boolean failing = callsBad > 4 && callsBad > 2 * callsGood;
-            if (optional && (ex.callTries > 0 || failing && chance.nextInt(8) > 0
-                    || now + callTime.mean(0) > latest)) {
+            long latest = ex.sloAt - WAY_BACK - (optional ? (long) remaining(ex) : 0);
+            boolean open = callsBad > 4 && callsBad > 2 * callsGood && chance.nextInt(8) > 0;
+            if (optional && (ex.callTries > 0 || open || now + callTime.mean(0) > latest || !shareLeft())) {
                 backFromCall(ex);
                 host.leaveOut(ex);
                 return true;
@@ -558,15 +562,10 @@
                 giveUp(ex, host);
                 return true;
             }
-            long until = latest > now ? latest : ex.due - AHEAD;
             if (!shareLeft()) {
-                if (optional) {
-                    backFromCall(ex);
-                    host.leaveOut(ex);
-                    return true;
-                }
                 continue;
             }
+            long until = latest > now ? latest : ex.due - AHEAD;
             ex.stage = Stage.CALLING;
             callsInHand++;
             host.call(ex, until);
@@ -594,6 +593,11 @@
         return ex.group.onCore.mean(ex.group.sloTime / 6.0);
     }
 
+    /** Core time that a run still needs; one past what was expected needs a quarter of that once more. */
+    private double remaining(Exchange ex) {
+        return Math.max(expect(ex) / 4, expect(ex) - (now - ex.begun - ex.atCalls));
+    }
+
     /** Benefit for the core time it takes; a customer beyond its share counts by the part that is within. */
     private double density(Exchange ex) {
         double benefit = ex.group.benefit;
@@ -630,8 +634,7 @@
         hopeless.answered = true;
         release(hopeless);
         if (mayBeDenied(hopeless)) {
-            boolean allFull = !stuck && !failing && readingIsDear()
-                    && arrivalRate > ARRIVALS_UP * (0.8 + 0.4 * chance.nextDouble()) * allowancePerServer;
+            boolean allFull = !stuck && !failing && othersAreFull();
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
             host.deny(hopeless, Math.min(away, told.longestAway), allFull);
         } else {
@@ -640,6 +643,18 @@
         return true;
     }
 
+    /**
+     * Where further tries are marked, their part of the arrivals is what the other servers turned away: few while
+     * only this one is short, at any size of the fleet. Elsewhere dear reading and usual traffic passed must do.
+     */
+    private boolean othersAreFull() {
+        double random = chance.nextDouble();
+        if (told.marksFurtherTries) {
+            return furtherTries > TURNED_AWAY_SOME + (TURNED_AWAY_MANY - TURNED_AWAY_SOME) * random;
+        }
+        return readingIsDear() && arrivalRate > ARRIVALS_UP * (0.8 + 0.4 * random) * allowancePerServer;
+    }
+
     /** What a denied exchange costs each server it goes on to, told by how long exchanges wait to be read. */
     private boolean readingIsDear() {
         return reading.quantile(0.25, 0) > READING_DEAR * onCore.mean(Double.MAX_VALUE);
@@ -648,7 +663,7 @@
     private Exchange firstHopeless() {
         double ahead = 0;
         for (Exchange ex : running) {
-            ahead += Math.max(expect(ex) / 4, expect(ex) - (now - ex.begun - ex.atCalls));
+            ahead += remaining(ex);
         }
         double slots = Math.max(1, Math.min(bound, crowd()));
         boolean roomy = running.size() + line.size() <= (int) bound;
--- a/src/main/java/vetchrill/wire/DeploymentReader.java
+++ b/src/main/java/vetchrill/wire/DeploymentReader.java
@@ -41,6 +41,7 @@
         d.benefitByWork = "work".equals(root.path("valueBy").asText());
         d.servers = Math.max(1, root.path("servers").asInt(1));
         d.callers = Math.max(1, info.path("callers").asInt(1));
+        d.marksFurtherTries = root.path("clients").path("marksRetry").asBoolean();
         d.below = root.path("tier").asInt() > 0;
         d.cores = Math.max(1, info.path("cores").asInt(1));
         d.memoryKb = info.path("ramKb").asDouble(Double.MAX_VALUE);
--- a/src/main/java/vetchrill/wire/Door.java
+++ b/src/main/java/vetchrill/wire/Door.java
@@ -55,6 +55,7 @@
         long leaves = 0;
         long work = 0;
         double kb = 0;
+        boolean further = false;
         while (line.nextField()) {
             if (line.keyIs("rid")) {
                 id = line.whole();
@@ -68,6 +69,8 @@
                 work = line.tenths();
             } else if (line.keyIs("sizeKb")) {
                 kb = line.number();
+            } else if (line.keyIs("resent")) {
+                further = line.valueIs("1");
             } else if (line.keyIs("waitedMs")) {
                 waited = line.number();
             } else if (line.keyIs("repeats")) {
@@ -93,6 +96,7 @@
         arrived.callerLeaves = leaves;
         arrived.work = work;
         arrived.kb = kb;
+        arrived.furtherTry = further;
         arrived.repeat = prior != 0;
         arrived.prior = prior == 0 ? null : byId.get(prior);
         byId.put(id, arrived);
