Idle connections are cut past 16 a core as well, and to the least where callers are many

A tap shows servers whose table is full of 92 idle connections while their cpu is at 0.01: nobody else gets in, and the rest of the fleet drowns in new connections and tries. Guards against: any crowd of callers larger than what the cores have use for. Harm: where a few callers truly keep more than 16 exchanges a core out here, their connections are closed between two of them.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -17,6 +17,7 @@
  * for by {@link Host#wakeIn} and answered by {@link #gauges}, drives all that is periodic.
  */
 public final class OverloadController {
+    private static final long SECOND = 10_000;
     /** Between two looks at the gauges, and so the coarseness of every duty that is bound to a time. */
     private static final long PERIOD = 1000;
     /** Duties are done this much ahead of their time: two periods, against a late timer. */
@@ -41,6 +42,8 @@
     private static final double CROWDED = 1.3;
     /** Connections for each caller told at start past which idle ones are cut. */
     private static final int CONNECTIONS_PER_CALLER = 8;
+    /** The same by what could be out here at once, where callers are more than this server can have use for. */
+    private static final int CONNECTIONS_PER_CORE = 16;
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
     private static final long SHORTEST_IDLE = 100;
     private static final int STEPS_BACK = 50;
@@ -376,9 +379,14 @@
         } else if (now < illUntil && cpu < RECOVERED && !stuck && !failing) {
             illUntil = now;
         }
-        boolean over = connections > CONNECTIONS_PER_CALLER * told.callers || cpu > CPU_BUSY;
-        // A caller keeps coming back: with one connection for each at most, what is closed is opened again.
-        long floor = connections > told.callers ? SHORTEST_IDLE : told.callerIdleTime / REOPENED;
+        int useful = Math.min(CONNECTIONS_PER_CALLER * told.callers, CONNECTIONS_PER_CORE * told.cores);
+        boolean over = connections > useful || cpu > CPU_BUSY;
+        // A few callers keep coming back: with one connection for each at most, what is closed is opened again.
+        // One of many comes back much later than any idle time that there is room for.
+        long floor = told.callerIdleTime / REOPENED;
+        if (connections > told.callers || arrivalRate * floor < SECOND * told.callers) {
+            floor = SHORTEST_IDLE;
+        }
         idleTime = over ? Math.max(floor, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
         // Callers that heed a least rank send nothing below it: it rises while work is denied and sinks.
