Core time expected as a slope and a rest, so that a huge exchange is not taken for hopeless

The mean of the ratios is ruled by small exchanges, whose wait for disk does not grow with the work. Harm: none known; the slope is of the best quarter of runs and so a little low in a crowd.

--- a/src/main/java/vetchrill/control/EndpointGroup.java
+++ b/src/main/java/vetchrill/control/EndpointGroup.java
@@ -18,5 +18,7 @@
     public double benefitWithoutCall;
 
     final Histogram onCore = new Histogram();
+    /** Core time that the completed ones were said to need. */
+    final Histogram said = new Histogram();
     final Histogram atCalls = new Histogram();
 }
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -210,6 +210,7 @@
             ex.group.atCalls.add(ex.atCalls);
             if (ex.work > 0) {
                 pace.add(onCore * 100 / ex.work);
+                ex.group.said.add(ex.work);
             }
         }
         ex.stopping = false;
@@ -595,8 +596,12 @@
     }
 
     private double expect(Exchange ex) {
+        // What does not grow with the work, such as a wait for disk, would make a huge one look hopeless in a plain
+        // ratio, which the small ones dominate: their part is told apart by what the best runs needed.
         if (ex.work > 0) {
-            return ex.work * pace.mean(150) / 100;
+            double slope = pace.quantile(0.25, 150) / 100;
+            double rest = ex.group.onCore.mean(0) - slope * ex.group.said.mean(0);
+            return ex.work * slope + Math.max(0, rest);
         }
         return ex.group.onCore.mean(ex.group.sloTime / 6.0);
     }
