--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -17,7 +17,6 @@
  * for by {@link Host#wakeIn} and answered by {@link #gauges}, drives all that is periodic.
  */
 public final class OverloadController {
-    private static final long SECOND = 10_000;
     /** Between two looks at the gauges, and so the coarseness of every duty that is bound to a time. */
     private static final long PERIOD = 1000;
     /** Duties are done this much ahead of their time: two periods, against a late timer. */
@@ -47,14 +46,9 @@
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
     private static final long SHORTEST_IDLE = 100;
     private static final int STEPS_BACK = 50;
-    /** Where closings come straight back, idle time is cut to this part of the callers' own at most. */
-    private static final int REOPENED = 20;
     /** As many exchanges for each caller as if nothing were said. */
     private static final double MANY = 1000;
-    /**
-     * No run got anywhere for this long, and for this many usual runs: the work hangs, waiting is no use.
-     * Where every core is on a huge exchange this turns work away for nothing, until one of them is done.
-     */
+    /** No run got anywhere for this long and this many usual runs: it hangs, or every core is on a huge one. */
     private static final long STUCK_LEAST = 5000;
     private static final double STUCK_RUNS = 4;
     /** Bad health lasts no longer; so long passes before the next time, lest a fleet go dark together. */
@@ -76,10 +70,9 @@
     private static final double LEAST_RUNS = 0.5;
     /** Reading that costs more than this part of a run makes a denial that roams dear for everyone. */
     private static final double READING_DEAR = 0.12;
-    /** Part of the arrivals that were turned away elsewhere, over so many of them, at which all are full. */
-    private static final double TURNED_AWAY_SOME = 0.1;
-    private static final double TURNED_AWAY_MANY = 0.4;
-    private static final double MEMORY_OF_TRIES = 0.05;
+    /** Part of further tries among as many arrivals as this fades over, at which all servers must be full. */
+    private static final double TURNED_AWAY = 0.4;
+    private static final double TRIES_FADE = 0.05;
     /** Steps of the free value at each look; a least rank past the top leaves the dearest ranks alone. */
     private static final double TOKENS_GROW = 1.05;
     private static final double LEVEL_UP = 0.02;
@@ -101,7 +94,7 @@
     private final List<Exchange> replaying = new ArrayList<>();
     /** The hold in the order in which it will be run. */
     private List<Exchange> line = new ArrayList<>();
-    private final ArrayDeque<Exchange> fresh = new ArrayDeque<>();
+    private final ArrayDeque<Exchange> toRecognise = new ArrayDeque<>();
     private final ArrayDeque<Exchange> toForget = new ArrayDeque<>();
     private final ArrayDeque<Exchange> toInterrupt = new ArrayDeque<>();
     private final ArrayDeque<Exchange> remembered = new ArrayDeque<>();
@@ -134,7 +127,6 @@
     private double callsBad;
     private boolean denied;
     private double level;
-    private double levelSaid;
     private long lastTick;
     /** When a run last got anywhere, or the first of them began. */
     private long progressAt;
@@ -146,7 +138,7 @@
     private double unread;
     private long illUntil = Long.MIN_VALUE;
     private double tokens = MANY;
-    private double tokensSaid = MANY;
+    private double said;
     private final Histogram callTime = new Histogram();
     private final Histogram reading = new Histogram();
     private final Histogram onCore = new Histogram();
@@ -162,6 +154,7 @@
         bound = told.cores;
         idleTime = told.callerIdleTime;
         idleSaid = idleTime;
+        said = told.say == Deployment.Say.TOKENS ? MANY : 0;
         customerRate = new double[told.allowance.length];
         double sum = 0;
         for (double a : told.allowance) {
@@ -174,19 +167,18 @@
     // What happened: noted here, decided on below.
 
     public void arrived(Exchange ex, long now) {
-        this.now = now;
+        note(now);
         EndpointGroup group = ex.group;
         ex.due = ex.callerLeaves > 0 ? ex.callerLeaves : ex.arrived + group.asyncTimeout;
         ex.startBy = ex.arrived + (long) ((told.below ? PATIENCE_BELOW : PATIENCE) * group.sloTime);
         long slo = group.sloTime + (long) (group.sloStretch * ex.work);
         ex.sloAt = ex.arrived + Math.min(group.asyncTimeout, slo);
         held.add(ex);
-        fresh.add(ex);
+        toRecognise.add(ex);
         memory += ex.kb;
-        judge = true;
         sweep |= ex.due <= now + AHEAD;
         arrivalRate++;
-        furtherTries += MEMORY_OF_TRIES * ((ex.furtherTry ? 1 : 0) - furtherTries);
+        furtherTries += TRIES_FADE * ((ex.furtherTry ? 1 : 0) - furtherTries);
         reading.add(now - ex.arrived);
         unread += 0.1 * (now - ex.arrived - unread);
         if (ex.customer < customerRate.length) {
@@ -195,8 +187,7 @@
     }
 
     public void finished(Exchange ex, Outcome outcome, long took, long now) {
-        this.now = now;
-        judge = true;
+        note(now);
         progressAt = now;
         if (outcome == Outcome.ERRORED && ex.stage == Stage.RUNNING) {
             runsBad++;
@@ -225,8 +216,7 @@
     }
 
     public void wantsCall(Exchange ex, long now) {
-        this.now = now;
-        judge = true;
+        note(now);
         progressAt = now;
         running.remove(ex);
         atCall.add(ex);
@@ -239,7 +229,7 @@
     }
 
     public void callEnded(Exchange ex, Outcome outcome, long took, long now) {
-        this.now = now;
+        note(now);
         callOver(outcome == Outcome.GIVEN_UP);
         if (outcome == Outcome.COMPLETED) {
             callsGood++;
@@ -255,8 +245,7 @@
     }
 
     public void callerLeft(Exchange ex, long now) {
-        this.now = now;
-        judge = true;
+        note(now);
         ex.answered = true;
         if (ex.stage == Stage.HELD || ex.stage == Stage.REPLAYING) {
             release(ex);
@@ -266,16 +255,15 @@
     }
 
     public void leave(long stopAt, long now) {
-        this.now = now;
+        note(now);
         this.stopAt = stopAt;
         leaving = true;
         graceUntil = now + told.drainGrace;
-        judge = true;
         sweep = true;
     }
 
     public void gauges(double cpu, double runnable, double connections, long now) {
-        this.now = now;
+        note(now);
         this.cpu = cpu;
         this.runnable += (runnable - this.runnable) * 0.3;
         this.connections = connections;
@@ -286,6 +274,11 @@
         asleep = true;
     }
 
+    private void note(long now) {
+        this.now = now;
+        judge = true;
+    }
+
     private void backFromCall(Exchange ex) {
         atCall.remove(ex);
         enter(ex);
@@ -344,7 +337,6 @@
         if (ticked) {
             ticked = false;
             sweep = true;
-            judge = true;
             steer();
         }
         return wake(host) || recognise(host) || forget(host) || answerDue(host) || stopWork(host)
@@ -382,13 +374,7 @@
         }
         int useful = Math.min(CONNECTIONS_PER_CALLER * told.callers, CONNECTIONS_PER_CORE * told.cores);
         boolean over = connections > useful || cpu > CPU_BUSY;
-        // A few callers keep coming back: with one connection for each at most, what is closed is opened again.
-        // One of many comes back much later than any idle time that there is room for.
-        long floor = told.callerIdleTime / REOPENED;
-        if (connections > told.callers || arrivalRate * floor < SECOND * told.callers) {
-            floor = SHORTEST_IDLE;
-        }
-        idleTime = over ? Math.max(floor, idleTime / 2)
+        idleTime = over ? Math.max(SHORTEST_IDLE, idleTime / 2)
                 : Math.min(told.callerIdleTime, idleTime + told.callerIdleTime / STEPS_BACK);
         // Callers that heed a least rank send nothing below it: it rises while work is denied and sinks.
         level = denied ? Math.min(LEVEL_TOP, level + LEVEL_UP) : Math.max(0, level - LEVEL_DOWN);
@@ -434,12 +420,12 @@
 
     /** No effect twice: a deduplicated exchange is known once read, its repeats are answered from it. */
     private boolean recognise(Host host) {
-        while (!fresh.isEmpty()) {
-            Exchange ex = fresh.poll();
+        while (!toRecognise.isEmpty()) {
+            Exchange ex = toRecognise.poll();
             if (ex.group.effect != Effect.DEDUPLICATED || ex.stage != Stage.HELD) {
                 continue;
             }
-            if (ex.repeat && ranOrMayRun(ex.prior)) {
+            if (ex.repeat && (ex.prior == null || ex.prior.ran || ex.prior.stage != Stage.OVER)) {
                 held.remove(ex);
                 line.remove(ex);
                 replaying.add(ex);
@@ -460,10 +446,6 @@
         return false;
     }
 
-    private static boolean ranOrMayRun(Exchange prior) {
-        return prior == null || prior.ran || prior.stage != Stage.OVER;
-    }
-
     /** What was denied before it ran leaves no trace, or its repeat would be answered with its failure. */
     private boolean forget(Host host) {
         while (!toForget.isEmpty()) {
@@ -656,16 +638,11 @@
         return true;
     }
 
-    /**
-     * Where further tries are marked, their part of the arrivals is what the other servers turned away: few while
-     * only this one is short, at any size of the fleet. Elsewhere dear reading and usual traffic passed must do.
-     */
+    /** Marked further tries are few while only this one is short. Unmarked, dear reading and traffic must do. */
     private boolean othersAreFull() {
         double random = chance.nextDouble();
-        if (told.marksFurtherTries) {
-            return furtherTries > TURNED_AWAY_SOME + (TURNED_AWAY_MANY - TURNED_AWAY_SOME) * random;
-        }
-        return readingIsDear() && arrivalRate > ARRIVALS_UP * (0.8 + 0.4 * random) * allowancePerServer;
+        return told.marksFurtherTries ? furtherTries > TURNED_AWAY * random
+                : readingIsDear() && arrivalRate > ARRIVALS_UP * (0.8 + 0.4 * random) * allowancePerServer;
     }
 
     /** What a denied exchange costs each server it goes on to, told by how long exchanges wait to be read. */
@@ -731,14 +708,11 @@
             host.health(health == 1);
             return true;
         }
-        if (told.say == Deployment.Say.TOKENS && Math.abs(tokens - tokensSaid) > 0.1 * tokensSaid) {
-            tokensSaid = tokens;
-            host.say(tokens);
-            return true;
-        }
-        if (told.say == Deployment.Say.LEAST_RANK && Math.abs(level - levelSaid) > 0.04) {
-            levelSaid = level;
-            host.say(level);
+        boolean ranks = told.say == Deployment.Say.LEAST_RANK;
+        double value = ranks ? level : tokens;
+        if (told.say != Deployment.Say.NOTHING && Math.abs(value - said) > (ranks ? 0.04 : 0.1 * said)) {
+            said = value;
+            host.say(value);
             return true;
         }
         if (idleTime != idleSaid) {
