Hung work needs more evidence the fewer runs there are; unmarked tries roam for half a run of reading at most

On two cores one run that takes four times the usual is no rarity, and counted as hung work. It now takes 2 + 10/n usual runs for n runs. Guards against: verdicts from one long run at any size. Harm: a hang with a single run is seen after 12 usual runs. Now what an unmarked denial may cost the others in reading is half a run on average, less the further arrivals are past what is told. Guards against: storms of tries, at any size. Harm: where the told allowance is far off.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -41,16 +41,16 @@
     private static final double CROWDED = 1.3;
     /** Connections for each caller told at start past which idle ones are cut. */
     private static final int CONNECTIONS_PER_CALLER = 8;
-    /** The same by what could be out here at once, where callers are more than this server can have use for. */
+    /** The same by what could be out here at once, where callers are more than this server has use for. */
     private static final int CONNECTIONS_PER_CORE = 16;
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
     private static final long SHORTEST_IDLE = 100;
     private static final int STEPS_BACK = 50;
-    /** As many exchanges for each caller as if nothing were said. */
     private static final double MANY = 1000;
-    /** No run got anywhere for this long and this many usual runs: it hangs, or every core is on a huge one. */
+    /** It hangs if no run got anywhere for this long and so many usual runs: a few may well all be long. */
     private static final long STUCK_LEAST = 5000;
-    private static final double STUCK_RUNS = 4;
+    private static final double STUCK_RUNS = 2;
+    private static final double STUCK_ALONE = 10;
     /** Bad health lasts no longer; so long passes before the next time, lest a fleet go dark together. */
     private static final long ILL = 50_000;
     private static final long ILL_GAP = 12_500;
@@ -68,8 +68,8 @@
     /** Waiting unread for a half of the shortest SLO time lowers the bound, down to so many for each core. */
     private static final double JAM = 2;
     private static final double LEAST_RUNS = 0.5;
-    /** Reading that costs more than this part of a run makes a denial that roams dear for everyone. */
-    private static final double READING_DEAR = 0.12;
+    /** Reading, in runs, that a denied exchange may cost the servers it goes on to, on average. */
+    private static final double ROAMING_COST = 0.5;
     /** Part of further tries among as many arrivals as this fades over, at which all servers must be full. */
     private static final double TURNED_AWAY = 0.4;
     private static final double TRIES_FADE = 0.05;
@@ -359,8 +359,8 @@
             bound++;
         }
         bound = Math.min(bound, Math.max(1, crowd()));
-        stuck = !running.isEmpty()
-                && now - progressAt > Math.max(STUCK_LEAST, STUCK_RUNS * onCore.mean(STUCK_LEAST));
+        stuck = !running.isEmpty() && now - progressAt > Math.max(STUCK_LEAST,
+                (STUCK_RUNS + STUCK_ALONE / running.size()) * onCore.mean(STUCK_LEAST));
         // What is read is already too late, so that no denial reaches its caller in time. Either no more than
         // usual is read, and only this machine is slow; or next to nothing is completed, and none is lost.
         boolean swamped = unread > shortestSlo && (arrivalRate < ARRIVALS_UP * allowancePerServer
@@ -379,8 +379,8 @@
         // Callers that heed a least rank send nothing below it: it rises while work is denied and sinks.
         level = denied ? Math.min(LEVEL_TOP, level + LEVEL_UP) : Math.max(0, level - LEVEL_DOWN);
         // What is out here when work has to be denied is all that callers may have here; it grows back.
-        int open = held.size() + running.size() + atCall.size();
-        tokens = denied ? Math.max(1, Math.min(tokens, (double) open / told.callers))
+        double open = held.size() + running.size() + atCall.size();
+        tokens = denied ? Math.max(1, Math.min(tokens, open / told.callers))
                 : Math.min(MANY, tokens * TOKENS_GROW);
         denied = false;
         callLoad += (callsInHand + lingering.size() - callLoad) * PERIOD / Math.max(PERIOD, told.callsWindow);
@@ -578,8 +578,7 @@
     }
 
     private double expect(Exchange ex) {
-        // What does not grow with the work, such as a wait for disk, would make a huge one look hopeless in a plain
-        // ratio, which the small ones dominate: their part is told apart by what the best runs needed.
+        // Waits for disk do not grow with the work: a plain ratio, ruled by small ones, condemns huge ones.
         if (ex.work > 0) {
             double slope = pace.quantile(0.25, 150) / 100;
             double rest = ex.group.onCore.mean(0) - slope * ex.group.said.mean(0);
@@ -629,25 +628,26 @@
         hopeless.answered = true;
         release(hopeless);
         if (mayBeDenied(hopeless)) {
-            boolean allFull = !stuck && !failing && othersAreFull();
+            boolean forGood = !stuck && !failing && shouldGiveUp();
             long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
-            host.deny(hopeless, Math.min(away, told.longestAway), allFull);
+            host.deny(hopeless, Math.min(away, told.longestAway), forGood);
         } else {
             host.terminate(hopeless);
         }
         return true;
     }
 
-    /** Marked further tries are few while only this one is short. Unmarked, dear reading and traffic must do. */
-    private boolean othersAreFull() {
-        double random = chance.nextDouble();
-        return told.marksFurtherTries ? furtherTries > TURNED_AWAY * random
-                : readingIsDear() && arrivalRate > ARRIVALS_UP * (0.8 + 0.4 * random) * allowancePerServer;
-    }
-
-    /** What a denied exchange costs each server it goes on to, told by how long exchanges wait to be read. */
-    private boolean readingIsDear() {
-        return reading.quantile(0.25, 0) > READING_DEAR * onCore.mean(Double.MAX_VALUE);
+    /**
+     * Marked further tries are few while only this server is short. Unmarked, what roams must not cost more
+     * than it can bring: waits unread tell what reading costs, and traffic past the told that it brings less.
+     */
+    private boolean shouldGiveUp() {
+        double part = furtherTries / TURNED_AWAY;
+        if (!told.marksFurtherTries) {
+            double up = Math.min(2, Math.max(1, arrivalRate / Math.max(1, allowancePerServer)));
+            part = reading.quantile(0.25, 0) / onCore.mean(Double.MAX_VALUE) / ROAMING_COST * Math.pow(up, 4);
+        }
+        return chance.nextDouble() < part;
     }
 
     private Exchange firstHopeless() {
@@ -708,9 +708,8 @@
             host.health(health == 1);
             return true;
         }
-        boolean ranks = told.say == Deployment.Say.LEAST_RANK;
-        double value = ranks ? level : tokens;
-        if (told.say != Deployment.Say.NOTHING && Math.abs(value - said) > (ranks ? 0.04 : 0.1 * said)) {
+        double value = told.say == Deployment.Say.LEAST_RANK ? level : tokens;
+        if (told.say != Deployment.Say.NOTHING && Math.abs(value - said) > 0.03 + 0.05 * said) {
             said = value;
             host.say(value);
             return true;
