Waits unread are learnt from fewer arrivals, and count sooner on a cold server

Cause: at two to five arrivals a second the wait unread faded faster than it was learnt, so that a cold or jammed small server never seemed to read late. Its weight for each arrival is doubled, and a cold server compares it with the part of its speed that it surely has. Guards against: small servers that read too late. Harm: one long wait counts for more.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -180,7 +180,7 @@
         arrivalRate++;
         furtherTries += TRIES_FADE * ((ex.furtherTry ? 1 : 0) - furtherTries);
         reading.add(now - ex.arrived);
-        unread += 0.1 * (now - ex.arrived - unread);
+        unread += 0.2 * (now - ex.arrived - unread);
         if (ex.customer < customerRate.length) {
             customerRate[ex.customer]++;
         }
@@ -363,7 +363,7 @@
                 (STUCK_RUNS + STUCK_ALONE / running.size()) * onCore.mean(STUCK_LEAST));
         // What is read is already too late, so that no denial reaches its caller in time. Either no more than
         // usual is read, and only this machine is slow; or next to nothing is completed, and none is lost.
-        boolean swamped = unread > shortestSlo && (arrivalRate < ARRIVALS_UP * allowancePerServer
+        boolean swamped = unread > shortestSlo * warm() && (arrivalRate < ARRIVALS_UP * allowancePerServer
                 || completionRate < USELESS * arrivalRate);
         // Runs that fail at once make room for more: such a server would draw what others could complete.
         failing = runsBad > FAILURES && runsBad > runsGood;
@@ -400,13 +400,17 @@
         }
     }
 
+    /** Part of the full speed that the cores have reached at least. */
+    private double warm() {
+        if (!told.cold || told.warmUp <= 0) {
+            return 1;
+        }
+        return Math.min(1, told.coldShare + (1 - told.coldShare) * (now - born) / told.warmUp);
+    }
+
     /** Runs that the cores survive: fewer while cold. */
     private double crowd() {
-        double warm = 1;
-        if (told.cold && told.warmUp > 0) {
-            warm = Math.min(1, told.coldShare + (1 - told.coldShare) * (now - born) / told.warmUp);
-        }
-        return CROWD_MARK * (1 + (told.crowdPerCore - 1) * warm) * told.cores;
+        return CROWD_MARK * (1 + (told.crowdPerCore - 1) * warm()) * told.cores;
     }
 
     private boolean wake(Host host) {
