--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -78,8 +78,6 @@
     private static final double LEVEL_UP = 0.02;
     private static final double LEVEL_DOWN = 0.01;
     private static final double LEVEL_TOP = 0.5;
-    /** A denied caller is asked to stay away at least this long. */
-    private static final long LEAST_AWAY = 2000;
 
     private static final Comparator<Exchange> OLDEST = Comparator.comparingLong(ex -> ex.arrived);
 
@@ -104,8 +102,7 @@
     private double runnable;
     private double connections;
     private double bound;
-    private boolean ticked;
-    private boolean asleep = true;
+    private boolean ticked = true;
     private boolean sweep;
     private boolean judge;
     private int healthSaid = -1;
@@ -271,7 +268,6 @@
         progressAt += Math.max(0, now - lastTick - 2 * PERIOD);
         lastTick = now;
         ticked = true;
-        asleep = true;
     }
 
     private void note(long now) {
@@ -338,8 +334,10 @@
             ticked = false;
             sweep = true;
             steer();
+            host.wakeIn(PERIOD);
+            return true;
         }
-        return wake(host) || recognise(host) || forget(host) || answerDue(host) || stopWork(host)
+        return recognise(host) || forget(host) || answerDue(host) || stopWork(host)
                 || thin(host) || calls(host) || shed(host) || start(host) || advise(host);
     }
 
@@ -413,15 +411,6 @@
         return CROWD_MARK * (1 + (told.crowdPerCore - 1) * warm()) * told.cores;
     }
 
-    private boolean wake(Host host) {
-        if (!asleep) {
-            return false;
-        }
-        asleep = false;
-        host.wakeIn(PERIOD);
-        return true;
-    }
-
     /** No effect twice: a deduplicated exchange is known once read, its repeats are answered from it. */
     private boolean recognise(Host host) {
         while (!toRecognise.isEmpty()) {
@@ -633,8 +622,7 @@
         release(hopeless);
         if (mayBeDenied(hopeless)) {
             boolean forGood = !stuck && !failing && shouldGiveUp();
-            long away = LEAST_AWAY + chance.nextLong(Math.max(1, told.longestAway));
-            host.deny(hopeless, Math.min(away, told.longestAway), forGood);
+            host.deny(hopeless, told.longestAway / 4 + chance.nextLong(told.longestAway * 3 / 4 + 1), forGood);
         } else {
             host.terminate(hopeless);
         }
