The running bound grows up to 1.3 wanting a core for each core, and 12 idle connections a core are enough

Guards against: idle cores where runs wait for something else. Harm: where cores are slowed by more than they are counted.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -42,7 +42,7 @@
     /** Connections for each caller told at start past which idle ones are cut. */
     private static final int CONNECTIONS_PER_CALLER = 8;
     /** The same by what could be out here at once, where callers are more than this server has use for. */
-    private static final int CONNECTIONS_PER_CORE = 16;
+    private static final int CONNECTIONS_PER_CORE = 12;
     /** Shortest idle time, and the steps in which it returns to that of the callers. */
     private static final long SHORTEST_IDLE = 100;
     private static final int STEPS_BACK = 50;
@@ -344,9 +344,9 @@
     private void steer() {
         // The design's bound: up while cores idle although work is held, down when runs only slow each other.
         // Where something else takes cores, cpu alone never gets busy: runs that already wait for one say so.
-        if (cpu < CPU_BUSY && runnable < told.cores && !held.isEmpty() && running.size() >= (int) bound) {
+        if (cpu < CPU_BUSY && runnable < CROWDED * told.cores && !held.isEmpty() && running.size() >= (int) bound) {
             bound++;
-        } else if (runnable > CROWDED * told.cores && bound > told.cores) {
+        } else if (runnable > CROWDED * told.cores + 1 && bound > told.cores) {
             bound--;
         }
         // Runs and reading share the cores: once exchanges wait long unread, callers time out and try again,
