Hung work: a server that has seen few runs leans on a sixth of the SLO time

Eight runs' worth of a sixth of the shortest SLO time now stand beside what was measured. Guards against: verdicts on few measurements, at any size. Harm: on a fresh server a hang is seen later.

--- a/src/main/java/vetchrill/control/Histogram.java
+++ b/src/main/java/vetchrill/control/Histogram.java
@@ -27,6 +27,10 @@
         }
     }
 
+    double count() {
+        return total;
+    }
+
     double mean(double ifEmpty) {
         if (total == 0) {
             return ifEmpty;
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -51,6 +51,7 @@
     private static final long STUCK_LEAST = 5000;
     private static final double STUCK_RUNS = 2;
     private static final double STUCK_ALONE = 10;
+    private static final int STUCK_KNOWN = 8;
     /** Bad health lasts no longer; so long passes before the next time, lest a fleet go dark together. */
     private static final long ILL = 50_000;
     private static final long ILL_GAP = 12_500;
@@ -344,7 +345,8 @@
     private void steer() {
         // The design's bound: up while cores idle although work is held, down when runs only slow each other.
         // Where something else takes cores, cpu alone never gets busy: runs that already wait for one say so.
-        if (cpu < CPU_BUSY && runnable < CROWDED * told.cores && !held.isEmpty() && running.size() >= (int) bound) {
+        boolean idle = cpu < CPU_BUSY && runnable < CROWDED * told.cores;
+        if (idle && !held.isEmpty() && running.size() >= (int) bound) {
             bound++;
         } else if (runnable > CROWDED * told.cores + 1 && bound > told.cores) {
             bound--;
@@ -357,8 +359,11 @@
             bound++;
         }
         bound = Math.min(bound, Math.max(1, crowd()));
-        stuck = !running.isEmpty() && now - progressAt > Math.max(STUCK_LEAST,
-                (STUCK_RUNS + STUCK_ALONE / running.size()) * onCore.mean(STUCK_LEAST));
+        // A server that has seen few runs may have seen short ones only.
+        double usual = (onCore.mean(0) * onCore.count() + shortestSlo / 6.0 * STUCK_KNOWN)
+                / (onCore.count() + STUCK_KNOWN);
+        stuck = !running.isEmpty() && now - progressAt
+                > Math.max(STUCK_LEAST, (STUCK_RUNS + STUCK_ALONE / running.size()) * usual);
         // What is read is already too late, so that no denial reaches its caller in time. Either no more than
         // usual is read, and only this machine is slow; or next to nothing is completed, and none is lost.
         boolean swamped = unread > shortestSlo * warm() && (arrivalRate < ARRIVALS_UP * allowancePerServer
@@ -622,7 +627,8 @@
         release(hopeless);
         if (mayBeDenied(hopeless)) {
             boolean forGood = !stuck && !failing && shouldGiveUp();
-            host.deny(hopeless, told.longestAway / 4 + chance.nextLong(told.longestAway * 3 / 4 + 1), forGood);
+            long away = told.longestAway / 4;
+            host.deny(hopeless, away + chance.nextLong(3 * away + 1), forGood);
         } else {
             host.terminate(hopeless);
         }
