--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -587,7 +587,8 @@
 
     /** Core time that a run still needs; one past what was expected needs a quarter of that once more. */
     private double remaining(Exchange ex) {
-        return Math.max(expect(ex) / 4, expect(ex) - (now - ex.begun - ex.atCalls));
+        double expected = expect(ex);
+        return Math.max(expected / 4, expected - (now - ex.begun - ex.atCalls));
     }
 
     /** Benefit for the core time it takes; a customer beyond its share counts by the part that is within. */
@@ -663,14 +664,15 @@
             if (!mayBeDenied(ex) && !ex.paused || leaving && ex.arrived > graceUntil) {
                 return ex;
             }
-            double own = expect(ex) + ex.group.atCalls.mean(0);
+            double expected = expect(ex);
+            double own = expected + ex.group.atCalls.mean(0);
             double startsAt = now + ahead / slots;
             double limit = leaving ? Math.min(ex.sloAt, stopAt - AHEAD) : ex.sloAt;
             boolean first = (roomy || running.isEmpty() && ex == line.get(0)) && ex.sloAt > now && !leaving;
             if (!first && (startsAt + own > limit - WAY_BACK || startsAt > ex.startBy)) {
                 return ex;
             }
-            ahead += expect(ex);
+            ahead += expected;
         }
         return null;
     }
