--- a/src/main/java/vetchrill/wire/DeploymentReader.java
+++ b/src/main/java/vetchrill/protocol/DeploymentReader.java
@@ -1,4 +1,4 @@
-package vetchrill.wire;
+package vetchrill.protocol;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -8,26 +8,33 @@
 import vetchrill.control.Deployment;
 import vetchrill.control.EndpointGroup;
 
-/** Decodes what a fresh instance is told. */
-final class DeploymentReader {
+/** Decodes what a fresh instance is told, on the wire and on sockets alike. */
+public final class DeploymentReader {
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    final Deployment deployment = new Deployment();
+    public final Deployment deployment = new Deployment();
     /** Where each gauge stands in a row of gauges; -1 where it is not sent. */
-    final int cpuAt;
-    final int runnableAt;
-    final int connectionsAt;
+    public final int cpuAt;
+    public final int runnableAt;
+    public final int connectionsAt;
+    /** Names by which the door knows groups and customers, in the order of the deployment. */
+    public final List<String> groupNames = new ArrayList<>();
+    public final List<String> customerNames = new ArrayList<>();
 
-    DeploymentReader(String options) {
-        JsonNode root;
-        try {
-            root = JSON.readTree(options);
-        } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("options are no JSON: " + e.getOriginalMessage());
-        }
+    public DeploymentReader(String options) {
+        this(parsed(options));
+    }
+
+    public DeploymentReader(JsonNode root) {
         if (root == null || !root.isObject()) {
             throw new IllegalArgumentException("options are no JSON object");
         }
+        for (JsonNode told : root.path("categories")) {
+            groupNames.add(told.path("name").asText());
+        }
+        for (JsonNode told : root.path("customers")) {
+            customerNames.add(told.path("name").asText());
+        }
         JsonNode info = root.path("familyInfo");
         JsonNode rules = root.path("guarantees");
         Deployment d = deployment;
@@ -76,6 +83,14 @@
         connectionsAt = position(meters, "sockets");
     }
 
+    private static JsonNode parsed(String options) {
+        try {
+            return JSON.readTree(options);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("options are no JSON: " + e.getOriginalMessage());
+        }
+    }
+
     private static List<EndpointGroup> groups(JsonNode root, JsonNode info) {
         List<EndpointGroup> groups = new ArrayList<>();
         for (JsonNode told : root.path("categories")) {
--- /dev/null
+++ b/src/main/java/vetchrill/protocol/FrameReader.java
@@ -0,0 +1,73 @@
+package vetchrill.protocol;
+
+import vetchrill.transport.Connection;
+import vetchrill.transport.Limits;
+
+/** Splits what a client stub sends into frames. */
+public final class FrameReader implements Connection.Input {
+    /** Who takes the frames; the payload is a slice of the buffer, good for the call only. */
+    public interface Taker {
+        void frame(int type, int stream, byte[] buf, int from, int to);
+
+        /** A frame whose length is allowed but of which no exchange has need; it is read past. */
+        void oversized(int type, int stream);
+
+        /** The frames can't be told apart any more. */
+        void broken(String reason);
+
+        void ended(String why);
+    }
+
+    private static final int HEAD = 9;
+
+    private final Limits limits;
+    private final Taker taker;
+    private int toSkip;
+
+    public FrameReader(Limits limits, Taker taker) {
+        this.limits = limits;
+        this.taker = taker;
+    }
+
+    @Override
+    public int take(byte[] buf, int from, int to) {
+        int has = to - from;
+        if (toSkip > 0) {
+            int skipped = Math.min(toSkip, has);
+            toSkip -= skipped;
+            return skipped;
+        }
+        if (has < 4) {
+            return 0;
+        }
+        long length = Frames.number(buf, from) & 0xffffffffL;
+        if (length < 5 || length > limits.longestFrame) {
+            taker.broken("a frame of length " + length);
+            return -1;
+        }
+        if (has < HEAD) {
+            return 0;
+        }
+        int type = buf[from + 4] & 0xff;
+        int stream = Frames.number(buf, from + 5);
+        if (length > limits.frame - 4) {
+            taker.oversized(type, stream);
+            toSkip = (int) length - 5;
+            return HEAD;
+        }
+        if (has < 4 + length) {
+            return 0;
+        }
+        if (type != Frames.EXCHANGE && type != Frames.CHECK) {
+            taker.broken("a frame of type " + type);
+            return -1;
+        }
+        taker.frame(type, stream, buf, from + HEAD, from + 4 + (int) length);
+        return 4 + (int) length;
+    }
+
+    @Override
+    public void ended(String why) {
+        taker.ended(why);
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/protocol/MembershipCall.java
@@ -0,0 +1,124 @@
+package vetchrill.protocol;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import vetchrill.transport.Limits;
+
+/** One report to the membership service, on a connection that is kept between reports while it lasts. */
+public final class MembershipCall {
+    private static final int LONGEST_HEAD = 8 << 10;
+
+    private final InetSocketAddress address;
+    private final String name;
+    private final Limits limits;
+    private Socket socket;
+
+    public MembershipCall(InetSocketAddress address, String name, Limits limits) {
+        this.address = address;
+        this.name = name;
+        this.limits = limits;
+    }
+
+    /** Reports, and returns the status of the answer. */
+    public int report(boolean up) throws IOException {
+        boolean kept = socket != null;
+        try {
+            return once(up);
+        } catch (IOException e) {
+            close();
+            if (!kept) {
+                throw e;
+            }
+        }
+        // The kept connection may have been closed meanwhile; a report may arrive twice without harm.
+        try {
+            return once(up);
+        } catch (IOException e) {
+            close();
+            throw e;
+        }
+    }
+
+    private void close() {
+        if (socket != null) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // It is given up either way.
+            }
+            socket = null;
+        }
+    }
+
+    private int once(boolean up) throws IOException {
+        if (socket == null) {
+            Socket fresh = new Socket();
+            socket = fresh;
+            fresh.setTcpNoDelay(true);
+            fresh.setSoTimeout((int) (limits.reportWait / 10));
+            fresh.connect(address, (int) (limits.reportWait / 10));
+        }
+        String body = up ? "{\"phase\":\"UP\"}" : "{\"phase\":\"OUT\"}";
+        String call = "PUT /members/" + name + " HTTP/1.1\r\nHost: " + address.getHostString() + ":"
+                + address.getPort() + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
+                + "\r\n\r\n" + body;
+        OutputStream out = socket.getOutputStream();
+        out.write(call.getBytes(StandardCharsets.US_ASCII));
+        InputStream in = socket.getInputStream();
+        String status = line(in);
+        String[] words = status.split(" ");
+        if (words.length < 2 || !words[0].startsWith("HTTP/1.") || words[1].length() != 3) {
+            throw new IOException("no answer of HTTP/1.1: " + status);
+        }
+        int code;
+        try {
+            code = Integer.parseInt(words[1]);
+        } catch (NumberFormatException e) {
+            throw new IOException("no answer of HTTP/1.1: " + status);
+        }
+        boolean lasts = words[0].equals("HTTP/1.1");
+        long length = code == 204 || code == 304 ? 0 : -1;
+        int head = 0;
+        for (String header = line(in); !header.isEmpty(); header = line(in)) {
+            head += header.length();
+            if (head > LONGEST_HEAD) {
+                throw new IOException("a head without an end");
+            }
+            int colon = header.indexOf(':');
+            String value = colon < 0 ? "" : header.substring(colon + 1).trim();
+            if (header.regionMatches(true, 0, "content-length:", 0, 15) && length < 0) {
+                try {
+                    length = Long.parseLong(value);
+                } catch (NumberFormatException e) {
+                    lasts = false;
+                }
+            } else if (header.regionMatches(true, 0, "connection:", 0, 11) && value.equalsIgnoreCase("close")) {
+                lasts = false;
+            }
+        }
+        // An answer whose end isn't told plainly costs the connection, not a parser for every way to tell it.
+        if (!lasts || length < 0 || length > LONGEST_HEAD) {
+            close();
+        } else {
+            in.skipNBytes(length);
+        }
+        return code;
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0 || line.length() > LONGEST_HEAD) {
+                throw new IOException("the answer ends early");
+            }
+            if (c != '\r') {
+                line.append((char) c);
+            }
+        }
+        return line.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/routing/Admit.java
@@ -0,0 +1,90 @@
+package vetchrill.routing;
+
+import vetchrill.control.Exchange;
+import vetchrill.control.OverloadController;
+import vetchrill.protocol.DeploymentReader;
+import vetchrill.protocol.Frames;
+
+/** Hands to the module what happened and pulls its decisions. */
+final class Admit {
+    private static final System.Logger LOG = System.getLogger("vetchrill.admit");
+
+    private final DeploymentReader facts;
+    private final long seed;
+    private final Clock clock;
+    private final Book book;
+    private Route route;
+    private OverloadController controller;
+    private double[] gauges = new double[0];
+    /** The oldest that an exchange was when it came to the decision thread, since the last summary. */
+    long oldest;
+
+    Admit(DeploymentReader facts, long seed, Clock clock, Book book) {
+        this.facts = facts;
+        this.seed = seed;
+        this.clock = clock;
+        this.book = book;
+    }
+
+    /** The interpreter is up: only now is there something to decide on, and known since when it warms up. */
+    void begin(Route route, long born) {
+        this.route = route;
+        controller = new OverloadController(facts.deployment, seed, born);
+    }
+
+    boolean begun() {
+        return controller != null;
+    }
+
+    void arrived(Open ex) {
+        long now = clock.now();
+        if (ex.stub.open.containsKey(ex.stream)) {
+            // An answer on its stream would be taken for that of the exchange which has it.
+            LOG.log(System.Logger.Level.WARNING, "bad input: stream {0} used while it is open", ex.stream);
+            ex.stub.connection.send(Frames.terminated(0));
+            return;
+        }
+        if (book.has(ex.id)) {
+            LOG.log(System.Logger.Level.WARNING, "bad input: rid {0} used while it is open", ex.id);
+            ex.stub.connection.send(Frames.terminated(ex.stream));
+            return;
+        }
+        if (controller == null) {
+            ex.stub.connection.send(Frames.denied(ex.stream, 0, false));
+            return;
+        }
+        oldest = Math.max(oldest, now - ex.arrived);
+        book.add(ex);
+        controller.arrived(ex, now);
+    }
+
+    void finished(Open ex, Exchange.Outcome outcome, long took) {
+        controller.finished(ex, outcome, took, clock.now());
+        book.forgetIfOver(ex);
+    }
+
+    void gauges(double[] row) {
+        gauges = row;
+    }
+
+    /** One look, with the last gauges known. */
+    void look() {
+        controller.gauges(gauge(facts.cpuAt), gauge(facts.runnableAt), gauge(facts.connectionsAt), clock.now());
+    }
+
+    private double gauge(int at) {
+        return at >= 0 && at < gauges.length ? gauges[at] : 0;
+    }
+
+    void leave(long stopAt) {
+        if (controller != null) {
+            controller.leave(stopAt, clock.now());
+        }
+    }
+
+    void decide() {
+        while (controller != null && controller.next(route)) {
+            continue;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -0,0 +1,191 @@
+package vetchrill.routing;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import vetchrill.control.EndpointGroup.Effect;
+import vetchrill.control.Exchange.Outcome;
+import vetchrill.protocol.DeploymentReader;
+import vetchrill.protocol.FrameReader;
+import vetchrill.protocol.Frames;
+import vetchrill.protocol.InterpreterLines;
+import vetchrill.protocol.MembershipCall;
+import vetchrill.transport.Connection;
+import vetchrill.transport.InterpreterLink;
+import vetchrill.transport.Limits;
+
+/** Puts the units of the chain together, and tells them of links, notices and the end. */
+public final class Chain {
+    private static final System.Logger LOG = System.getLogger("vetchrill.chain");
+    /** A start of the interpreter this much after the one known is another one. */
+    private static final long ANOTHER_START = 5_000;
+
+    final DecisionThread thread;
+    final Clock clock;
+    final Book book;
+    final Admit admit;
+    final Send send;
+    private final DeploymentReader facts;
+    private final Limits limits;
+    private final Report report;
+    private final Route route;
+    private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicLong unsent = new AtomicLong();
+    private volatile long lastNotice;
+    private long interpreterStart;
+    private volatile boolean leaving;
+
+    public Chain(DeploymentReader facts, long seed, Clock clock, DecisionThread thread, MembershipCall membership,
+            Limits limits) {
+        this.facts = facts;
+        this.limits = limits;
+        this.clock = clock;
+        this.thread = thread;
+        book = new Book(limits, thread);
+        admit = new Admit(facts, seed, clock, book);
+        send = new Send(limits, thread, clock, book, admit);
+        report = new Report(membership, limits);
+        route = new Route(clock, thread, book, send, report);
+    }
+
+    public void start(InetSocketAddress interpreter) {
+        report.start();
+        new InterpreterLink(interpreter, limits, connection -> {
+            thread.post(() -> send.linkOpened(connection, lastNotice));
+            return new InterpreterLines(limits, new Relay(this, connection));
+        }).start();
+        thread.post(() -> thread.at(clock.now() + limits.summaryEvery, this::summary));
+    }
+
+    public void decide() {
+        admit.decide();
+    }
+
+    /** On the listener's thread. */
+    public void accepted(Socket socket) {
+        if (connections.get() >= limits.connections) {
+            LOG.log(System.Logger.Level.WARNING, "a connection past {0}: closed", limits.connections);
+            quietly(socket);
+            return;
+        }
+        String name = "c" + connections.incrementAndGet();
+        try {
+            Connection connection = new Connection(socket, name, limits, unsent);
+            Stub stub = new Stub(connection, clock.now());
+            thread.post(() -> book.opened(stub));
+            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report);
+            FrameReader frames = new FrameReader(limits, takeIn);
+            boolean started = connection.start(name, new Connection.Input() {
+                @Override
+                public int take(byte[] buf, int from, int to) {
+                    return frames.take(buf, from, to);
+                }
+
+                @Override
+                public void ended(String why) {
+                    connections.decrementAndGet();
+                    frames.ended(why);
+                }
+            }, limits.frame);
+            if (!started) {
+                LOG.log(System.Logger.Level.ERROR, "no thread for a connection: closed");
+                connections.decrementAndGet();
+                thread.post(() -> book.ended(stub));
+            }
+        } catch (IOException e) {
+            connections.decrementAndGet();
+            quietly(socket);
+        }
+    }
+
+    private static void quietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It was to be closed.
+        }
+    }
+
+    void noticed(long number) {
+        if (number > lastNotice + 1) {
+            LOG.log(System.Logger.Level.ERROR, "notices {0} to {1} never came", lastNotice + 1, number - 1);
+        }
+        lastNotice = Math.max(lastNotice, number);
+    }
+
+    void banner(String state, long sinceStart) {
+        long started = clock.now() - sinceStart;
+        boolean first = !admit.begun();
+        if (first) {
+            LOG.log(System.Logger.Level.INFO, "the interpreter is up: {0}, started {1} ms ago", state,
+                    sinceStart / 10);
+            facts.deployment.cold |= state.equals("new");
+            admit.begin(route, started);
+        } else {
+            LOG.log(System.Logger.Level.INFO, "link to the interpreter back, {0} exchanges open", book.size());
+            if (started > interpreterStart + ANOTHER_START) {
+                runsAreGone();
+            }
+        }
+        interpreterStart = started;
+        send.bannerRead(first);
+    }
+
+    /** Another interpreter knows nothing of what the last one ran: what may run again does, the rest has failed. */
+    private void runsAreGone() {
+        LOG.log(System.Logger.Level.ERROR, "the interpreter started anew");
+        for (Open ex : book.all()) {
+            if (!ex.begun || ex.over()) {
+                continue;
+            }
+            if (!ex.done && ex.group.effect != Effect.REPEATABLE) {
+                book.terminated++;
+                book.answer(ex, Frames.terminated(ex.stream), clock.now());
+            }
+            ex.begun = false;
+            admit.finished(ex, ex.group.effect == Effect.REPEATABLE ? Outcome.STOPPED : Outcome.CUT_OFF, 0);
+        }
+    }
+
+    void linkLost(Connection link, String why) {
+        LOG.log(System.Logger.Level.WARNING, "link to the interpreter lost: {0}", why);
+        send.linkLost(link);
+    }
+
+    /** The notice to leave, on any thread. */
+    public void leave(long stopAt) {
+        leaving = true;
+        thread.post(() -> {
+            LOG.log(System.Logger.Level.INFO, "drain: {0} exchanges open on {1} connections, stop in {2} ms",
+                    book.size(), book.connections(), (stopAt - clock.now()) / 10);
+            report.health(false);
+            admit.leave(stopAt);
+        });
+    }
+
+    public void takeNothingNew() {
+        thread.post(book::takeNothingNew);
+    }
+
+    public void closeAll() {
+        thread.post(book::closeAll);
+    }
+
+    /** On the decision thread; told to the log at the end of a drain. */
+    public boolean allSent() {
+        return book.allSent();
+    }
+
+    private void summary() {
+        LOG.log(System.Logger.Level.INFO, "completed {0} denied {1} terminated {2}; open {3} on {4} connections, "
+                + "{5} closed idle; oldest arrival {6} ms, longest round {7} ms, {8} inputs waiting, {9} looks "
+                + "without gauges", book.completed, book.denied, book.terminated, book.size(), book.connections(),
+                book.idleClosed, admit.oldest / 10, thread.longestRound / 10, thread.mostWaiting, send.looksWithout);
+        admit.oldest = 0;
+        thread.longestRound = 0;
+        thread.mostWaiting = 0;
+        thread.at(clock.now() + limits.summaryEvery, this::summary);
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/routing/Open.java
@@ -0,0 +1,27 @@
+package vetchrill.routing;
+
+import vetchrill.control.Exchange;
+
+/** An exchange between its arrival and the end of its run, with what the door needs to answer it. */
+final class Open extends Exchange {
+    final String id;
+    final String groupName;
+    final Stub stub;
+    final int stream;
+    /** The only part of its frame that outlives the buffer; let go once its run is over. */
+    byte[] body;
+    /** It has its one final answer. */
+    boolean done;
+    /** The module has begun it. */
+    boolean begun;
+    /** The link on which its run was asked for; 0 while that was not possible. */
+    int appliedOn;
+
+    Open(String id, String groupName, Stub stub, int stream, byte[] body) {
+        this.id = id;
+        this.groupName = groupName;
+        this.stub = stub;
+        this.stream = stream;
+        this.body = body;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/routing/Relay.java
@@ -0,0 +1,89 @@
+package vetchrill.routing;
+
+import vetchrill.control.EndpointGroup.Effect;
+import vetchrill.control.Exchange.Outcome;
+import vetchrill.protocol.Frames;
+import vetchrill.protocol.InterpreterLines;
+import vetchrill.transport.Connection;
+
+/** What comes from the interpreter over one link: results go back unchanged. Read on the link's own thread. */
+final class Relay implements InterpreterLines.Taker {
+    private static final System.Logger LOG = System.getLogger("vetchrill.link");
+
+    private final Chain chain;
+    private final Connection link;
+
+    Relay(Chain chain, Connection link) {
+        this.chain = chain;
+        this.link = link;
+    }
+
+    @Override
+    public void banner(String state, long sinceStart) {
+        chain.thread.post(() -> chain.banner(state, sinceStart));
+    }
+
+    @Override
+    public void value(long number, String id, String end, long took, byte[] buf, int from, int to) {
+        // The one copy of the result: it must outlive the link's buffer, and its stream is not known here.
+        byte[] answer = end.equals("good") ? Frames.completed(0, buf, from, to) : null;
+        chain.thread.post(() -> over(number, id, end, took, answer));
+    }
+
+    private void over(long number, String id, String end, long took, byte[] answer) {
+        chain.noticed(number);
+        Open ex = chain.book.find(id);
+        if (ex == null || !ex.begun || ex.over()) {
+            LOG.log(System.Logger.Level.DEBUG, "a run that is over already: {0} {1}", id, end);
+            return;
+        }
+        long now = chain.clock.now();
+        Outcome outcome = switch (end) {
+            case "good" -> Outcome.COMPLETED;
+            case "bad" -> Outcome.ERRORED;
+            case "cut" -> ex.group.effect == Effect.REPEATABLE ? Outcome.STOPPED : Outcome.CUT_OFF;
+            case "gone" -> Outcome.NOTHING_STARTED;
+            default -> Outcome.CUT_OFF;
+        };
+        if (!ex.done && outcome != Outcome.STOPPED) {
+            if (outcome == Outcome.COMPLETED) {
+                Frames.onStream(answer, ex.stream);
+                chain.book.completed++;
+                chain.book.answer(ex, answer, now);
+            } else {
+                chain.book.terminated++;
+                chain.book.answer(ex, Frames.terminated(ex.stream), now);
+            }
+        }
+        chain.admit.finished(ex, outcome, took);
+    }
+
+    @Override
+    public void gauges(String tag, double[] row) {
+        chain.thread.post(() -> chain.send.gaugesRead(tag, row));
+    }
+
+    @Override
+    public void error(String text) {
+        chain.thread.post(() -> {
+            LOG.log(System.Logger.Level.ERROR, "the interpreter did not carry out: {0}", text);
+            String[] words = text.split(" ");
+            Open ex = words.length > 2 ? chain.book.find(words[2]) : null;
+            if (ex != null && ex.begun && !ex.over()) {
+                chain.book.terminated++;
+                chain.book.answer(ex, Frames.terminated(ex.stream), chain.clock.now());
+                chain.admit.finished(ex, Outcome.NOTHING_STARTED, 0);
+            }
+        });
+    }
+
+    @Override
+    public void remark(long number, String text) {
+        chain.thread.post(() -> chain.noticed(number));
+    }
+
+    @Override
+    public void ended(String why) {
+        chain.thread.post(() -> chain.linkLost(link, why));
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/routing/Report.java
@@ -0,0 +1,69 @@
+package vetchrill.routing;
+
+import java.io.IOException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import vetchrill.protocol.MembershipCall;
+import vetchrill.transport.Limits;
+
+/** Health as health checks and the membership service hear it, from a thread of its own. */
+final class Report {
+    private static final System.Logger LOG = System.getLogger("vetchrill.membership");
+
+    private final MembershipCall call;
+    private final Limits limits;
+    private final LinkedBlockingQueue<Boolean> changes = new LinkedBlockingQueue<>();
+    private volatile boolean good;
+
+    Report(MembershipCall call, Limits limits) {
+        this.call = call;
+        this.limits = limits;
+    }
+
+    boolean isGood() {
+        return good;
+    }
+
+    /** On the decision thread; never waits. */
+    void health(boolean now) {
+        good = now;
+        changes.add(now);
+    }
+
+    void start() {
+        Thread thread = new Thread(null, this::keep, "reports", limits.threadStack);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void keep() {
+        boolean failing = false;
+        try {
+            boolean up = changes.take();
+            while (true) {
+                String wrong = null;
+                try {
+                    int code = call.report(up);
+                    if (code != 204) {
+                        wrong = "it answered " + code;
+                    }
+                } catch (IOException e) {
+                    wrong = String.valueOf(e.getMessage());
+                }
+                if (wrong != null && !failing) {
+                    LOG.log(System.Logger.Level.WARNING, "reports to the membership service fail: {0}", wrong);
+                } else if (wrong == null && failing) {
+                    LOG.log(System.Logger.Level.INFO, "reports to the membership service are taken again");
+                }
+                failing = wrong != null;
+                Boolean next = changes.poll(limits.reportEvery / 10, TimeUnit.MILLISECONDS);
+                while (next != null) {
+                    up = next;
+                    next = changes.poll();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/routing/Route.java
@@ -0,0 +1,94 @@
+package vetchrill.routing;
+
+import vetchrill.control.Exchange;
+import vetchrill.control.Host;
+import vetchrill.protocol.Frames;
+
+/** Carries out the module's decisions one by one: to the interpreter, to the stub, or into the book. */
+final class Route implements Host {
+    private final Clock clock;
+    private final DecisionThread thread;
+    private final Book book;
+    private final Send send;
+    private final Report report;
+
+    Route(Clock clock, DecisionThread thread, Book book, Send send, Report report) {
+        this.clock = clock;
+        this.thread = thread;
+        this.book = book;
+        this.send = send;
+        this.report = report;
+    }
+
+    @Override
+    public void begin(Exchange ex) {
+        send.apply((Open) ex);
+    }
+
+    @Override
+    public void deny(Exchange ex, long away, boolean giveUp) {
+        Open open = (Open) ex;
+        book.denied++;
+        book.answer(open, Frames.denied(open.stream, (away + 9) / 10, giveUp), clock.now());
+    }
+
+    @Override
+    public void terminate(Exchange ex) {
+        Open open = (Open) ex;
+        book.terminated++;
+        book.answer(open, Frames.terminated(open.stream), clock.now());
+        send.answered(open);
+    }
+
+    @Override
+    public void health(boolean good) {
+        report.health(good);
+    }
+
+    @Override
+    public void idleTime(long span) {
+        book.idleTime(span);
+    }
+
+    @Override
+    public void wakeIn(long span) {
+        thread.at(clock.now() + span, send::look);
+    }
+
+    // The start refuses settings that would need one of these: the protocol has no words for them.
+
+    @Override
+    public void interrupt(Exchange ex) {
+        throw new IllegalStateException("work can't be stopped here");
+    }
+
+    @Override
+    public void call(Exchange ex, long until) {
+        throw new IllegalStateException("calls can't be made here");
+    }
+
+    @Override
+    public void leaveOut(Exchange ex) {
+        throw new IllegalStateException("calls can't be left out here");
+    }
+
+    @Override
+    public void replay(Exchange ex) {
+        throw new IllegalStateException("no repeat is known here");
+    }
+
+    @Override
+    public void remember(Exchange ex, long span) {
+        throw new IllegalStateException("nothing is remembered here");
+    }
+
+    @Override
+    public void forget(Exchange ex) {
+        throw new IllegalStateException("nothing is remembered here");
+    }
+
+    @Override
+    public void say(double value) {
+        throw new IllegalStateException("no free value is sent here");
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/routing/Send.java
@@ -0,0 +1,117 @@
+package vetchrill.routing;
+
+import vetchrill.control.EndpointGroup.Effect;
+import vetchrill.control.Exchange.Outcome;
+import vetchrill.protocol.InterpreterLines;
+import vetchrill.transport.Connection;
+import vetchrill.transport.Limits;
+
+/** What goes to the interpreter: runs, looks at the gauges, and after a lost link what is still in doubt. */
+final class Send {
+    private final Limits limits;
+    private final DecisionThread thread;
+    private final Clock clock;
+    private final Book book;
+    private final Admit admit;
+    private Connection link;
+    private int linkNumber;
+    /** Commands may go out: the banner of this link was read, and all notices kept for it. */
+    private boolean settled;
+    private long looks;
+    /** The look whose gauges are waited for; 0 for none. */
+    private long lookOpen;
+    int looksWithout;
+
+    Send(Limits limits, DecisionThread thread, Clock clock, Book book, Admit admit) {
+        this.limits = limits;
+        this.thread = thread;
+        this.clock = clock;
+        this.book = book;
+        this.admit = admit;
+    }
+
+    void linkOpened(Connection connection, long lastRead) {
+        link = connection;
+        linkNumber++;
+        settled = false;
+        connection.send(InterpreterLines.connect(lastRead));
+    }
+
+    void linkLost(Connection connection) {
+        if (link == connection) {
+            link = null;
+            settled = false;
+        }
+    }
+
+    /** All kept notices follow the banner; gauges asked for behind it come after the last of them. */
+    void bannerRead(boolean first) {
+        if (first) {
+            settled = true;
+        } else if (link != null) {
+            link.send(InterpreterLines.top("settle" + linkNumber));
+        }
+    }
+
+    void apply(Open ex) {
+        ex.begun = true;
+        if (settled) {
+            ex.appliedOn = linkNumber;
+            link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
+        }
+    }
+
+    /** An exchange that is answered can't be started any more: to ask again only tells whether it runs. */
+    void answered(Open ex) {
+        if (settled && ex.begun && !ex.over() && ex.appliedOn != linkNumber) {
+            ex.appliedOn = linkNumber;
+            link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
+        }
+    }
+
+    void look() {
+        book.closeIdle(clock.now());
+        long number = ++looks;
+        lookOpen = number;
+        if (settled) {
+            link.send(InterpreterLines.top(Long.toString(number)));
+        }
+        // Due answers hang on the look: it can't wait for an interpreter that is paused or gone.
+        thread.at(clock.now() + limits.gaugeWait, () -> {
+            if (lookOpen == number) {
+                lookOpen = 0;
+                looksWithout++;
+                admit.look();
+            }
+        });
+    }
+
+    void gaugesRead(String tag, double[] row) {
+        admit.gauges(row);
+        if (tag.equals(Long.toString(lookOpen))) {
+            lookOpen = 0;
+            admit.look();
+        } else if (tag.equals("settle" + linkNumber)) {
+            settle();
+        }
+    }
+
+    /**
+     * After a lost link nobody knows whether the last runs asked for were heard. What may run twice is asked for
+     * again, which does nothing where it runs; what must not waits until its answer is given.
+     */
+    private void settle() {
+        settled = true;
+        for (Open ex : book.all()) {
+            if (!ex.begun || ex.over()) {
+                continue;
+            }
+            if (ex.appliedOn == 0 && ex.done) {
+                admit.finished(ex, Outcome.NOTHING_STARTED, 0);
+            } else if (ex.appliedOn == 0 || ex.done || ex.group.effect == Effect.REPEATABLE) {
+                ex.appliedOn = linkNumber;
+                link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/routing/TakeIn.java
@@ -0,0 +1,128 @@
+package vetchrill.routing;
+
+import java.util.Arrays;
+import vetchrill.protocol.DeploymentReader;
+import vetchrill.protocol.Fields;
+import vetchrill.protocol.FrameReader;
+import vetchrill.protocol.Frames;
+import vetchrill.transport.Limits;
+
+/** From frame to exchange, on the reader's thread of one connection: what can't be one is answered here. */
+final class TakeIn implements FrameReader.Taker {
+    private static final System.Logger LOG = System.getLogger("vetchrill.stub");
+    private static final int RID = 16;
+    private static final double LARGEST_KB = 2000;
+
+    private final DeploymentReader facts;
+    private final Limits limits;
+    private final DecisionThread thread;
+    private final Clock clock;
+    private final Stub stub;
+    private final Admit admit;
+    private final Book book;
+    private final Report report;
+    private final Fields fields = new Fields();
+    private boolean toldBad;
+
+    TakeIn(DeploymentReader facts, Limits limits, DecisionThread thread, Clock clock, Stub stub, Admit admit,
+            Book book, Report report) {
+        this.facts = facts;
+        this.limits = limits;
+        this.thread = thread;
+        this.clock = clock;
+        this.stub = stub;
+        this.admit = admit;
+        this.book = book;
+        this.report = report;
+    }
+
+    @Override
+    public void frame(int type, int stream, byte[] buf, int from, int to) {
+        String wrong = fields.read(buf, from, to);
+        if (type == Frames.CHECK) {
+            // Answered from here, so that checks are heard while the decision thread is busy denying.
+            stub.connection.send(Frames.checked(stream, wrong == null && report.isGood()));
+            return;
+        }
+        if (wrong == null) {
+            wrong = exchange(stream, buf, to);
+        }
+        if (wrong != null) {
+            bad(stream, wrong);
+        }
+    }
+
+    private String exchange(int stream, byte[] buf, int to) {
+        int group = fields.among("method", facts.groupNames);
+        if (group < 0) {
+            return "no known method";
+        }
+        String id = fields.text("rid");
+        if (id == null || id.length() != RID || !hex(id)) {
+            return "no rid of 16 hex digits";
+        }
+        long stamp = fields.whole("t0");
+        if (stamp < 0) {
+            return "no t0";
+        }
+        int customer = facts.customerNames.isEmpty() ? 0 : fields.among("acct", facts.customerNames);
+        if (customer < 0) {
+            return "no known acct";
+        }
+        double kb = fields.number("mem");
+        if (!(kb > 0 && kb < LARGEST_KB)) {
+            return "no mem within its range";
+        }
+        if (to - fields.end() > limits.body) {
+            return "a body of " + (to - fields.end()) + " bytes";
+        }
+        Open ex = new Open(id, facts.groupNames.get(group), stub, stream,
+                Arrays.copyOfRange(buf, fields.end(), to));
+        ex.group = facts.deployment.groups.get(group);
+        ex.customer = customer;
+        ex.kb = kb;
+        ex.arrived = clock.now() - clock.age(stamp, limits.oldest);
+        thread.post(() -> admit.arrived(ex));
+        return null;
+    }
+
+    private static boolean hex(String id) {
+        for (int i = 0; i < id.length(); i++) {
+            if (Character.digit(id.charAt(i), 16) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public void oversized(int type, int stream) {
+        if (type == Frames.EXCHANGE) {
+            bad(stream, "a frame far beyond what an exchange needs");
+        }
+    }
+
+    private void bad(int stream, String wrong) {
+        tell(wrong);
+        stub.connection.send(Frames.terminated(stream));
+    }
+
+    @Override
+    public void broken(String reason) {
+        tell(reason);
+        stub.connection.send(Frames.terminated(0));
+    }
+
+    /** Once for each connection: a stub that sends nothing but rubbish must not fill the log. */
+    private void tell(String wrong) {
+        if (!toldBad) {
+            LOG.log(System.Logger.Level.WARNING, "bad input: {0}", wrong);
+        }
+        toldBad = true;
+    }
+
+    @Override
+    public void ended(String why) {
+        thread.post(() -> book.ended(stub));
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/transport/InterpreterLink.java
@@ -0,0 +1,85 @@
+package vetchrill.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+
+/** Keeps one connection to an address: again at once when it is lost, then with growing pauses. */
+public final class InterpreterLink {
+    private static final System.Logger LOG = System.getLogger("vetchrill.link");
+
+    private final InetSocketAddress address;
+    private final Limits limits;
+    private final Function<Connection, Connection.Input> opened;
+
+    /** {@code opened} is called with each new connection before anything is read from it. */
+    public InterpreterLink(InetSocketAddress address, Limits limits, Function<Connection, Connection.Input> opened) {
+        this.address = address;
+        this.limits = limits;
+        this.opened = opened;
+    }
+
+    public void start() {
+        Thread thread = new Thread(null, this::keep, "link", limits.threadStack);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void keep() {
+        long pause = 0;
+        int number = 0;
+        boolean told = false;
+        while (true) {
+            try {
+                if (pause > 0) {
+                    Thread.sleep(pause / 10);
+                }
+                // A connection that was up for no time at all counts as a failed try.
+                pause = Math.min(limits.longestPause, Math.max(limits.firstPause, 2 * pause));
+                Socket socket = new Socket();
+                try {
+                    socket.connect(address, (int) (limits.connectWait / 10));
+                } catch (IOException e) {
+                    socket.close();
+                    throw e;
+                }
+                String name = "link" + ++number;
+                Connection connection = new Connection(socket, name, limits, new AtomicLong());
+                long since = System.nanoTime();
+                CountDownLatch over = new CountDownLatch(1);
+                Connection.Input input = opened.apply(connection);
+                boolean started = connection.start(name, new Connection.Input() {
+                    @Override
+                    public int take(byte[] buf, int from, int to) {
+                        return input.take(buf, from, to);
+                    }
+
+                    @Override
+                    public void ended(String why) {
+                        connection.abort();
+                        input.ended(why);
+                        over.countDown();
+                    }
+                }, limits.line);
+                if (!started) {
+                    continue;
+                }
+                told = false;
+                over.await();
+                if ((System.nanoTime() - since) / 100_000 > limits.longestPause) {
+                    pause = 0;
+                }
+            } catch (IOException e) {
+                if (!told) {
+                    LOG.log(System.Logger.Level.WARNING, "no link to the interpreter yet: {0}", e.getMessage());
+                }
+                told = true;
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -0,0 +1,55 @@
+package vetchrill.transport;
+
+/**
+ * Sizes, counts and times of the program, filled once at start and handed down; nothing in here decides about load.
+ * It stands in the lowest layer, since every layer reads it. Times are tenths of a millisecond.
+ */
+public final class Limits {
+    /** What the program is given. */
+    public final long memoryBytes;
+    public final int descriptors;
+
+    /** Half of the descriptors: the rest is for the link, the reports, the files of the runtime, and a margin. */
+    public final int connections;
+    public final int backlog = 1024;
+    public final int threadStack = 144 << 10;
+    public final int inputs = 4096;
+
+    public final int openPerConnection = 32;
+    public final int firstBuffer = 2 << 10;
+    /** Longest frame that is kept whole; a longer one is read past, for no exchange needs as much. */
+    public final int frame = 16 << 10;
+    public final int longestFrame = 262_144;
+    public final int body = 2 << 10;
+    public final int result = 4 << 10;
+    public final int line = 64 << 10;
+    /** Bytes that may wait for one peer that does not read: all its open exchanges with the largest results. */
+    public final int unsentPerConnection = 192 << 10;
+    public final long unsentInAll;
+
+    /** An arrival stamped earlier is taken to be so old. */
+    public final long oldest = 600_000;
+    /** The interpreter's gauges are waited for so long; then the last known ones are used. */
+    public final long gaugeWait = 500;
+    public final long connectWait = 10_000;
+    public final long firstPause = 200;
+    public final long longestPause = 10_000;
+    /** One report may be lost without the entry lapsing. */
+    public final long reportEvery = 9_000;
+    public final long reportWait = 10_000;
+    /** A peer told that nothing new is taken on a connection has so long to close it. */
+    public final long closeWait = 50_000;
+    /** The end of a drain: all connections told, no new connections, no new reading, then the end. */
+    public final long lastConnections = 5_000;
+    public final long shutListener = 1_400;
+    public final long shutReading = 900;
+    public final long shutAll = 300;
+    public final long summaryEvery = 100_000;
+
+    public Limits(long memoryBytes, int descriptors) {
+        this.memoryBytes = memoryBytes;
+        this.descriptors = descriptors;
+        connections = Math.max(1, descriptors / 2);
+        unsentInAll = memoryBytes / 12;
+    }
+}
--- a/src/main/java/vetchrill/wire/Door.java
+++ b/src/main/java/vetchrill/wire/Door.java
@@ -8,6 +8,7 @@
 import vetchrill.control.Exchange;
 import vetchrill.control.Host;
 import vetchrill.control.OverloadController;
+import vetchrill.protocol.DeploymentReader;
 
 /** One instance as the wire sees it: its ids, its controller, and what it writes. */
 final class Door implements Host {
--- a/src/main/java/vetchrill/wire/WireHost.java
+++ b/src/main/java/vetchrill/wire/WireHost.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import vetchrill.control.Exchange;
+import vetchrill.protocol.DeploymentReader;
 
 /** Speaks the wire: hands each event to its instance as it is read, asks for decisions when a batch ends. */
 public final class WireHost {
