Stories over sockets with stand-ins; a reader that fails costs only its own connection

The tests start the program as a process, with an interpreter, a membership service and stubs of our own on loopback. Found while writing them: an error in a reader ended the process (Connection.read had no catch for it); checks could be turned away when stubs use all their connections (Limits.connections was half of the descriptors, checks come on connections of their own). Dropped: telling another start of the interpreter by its age, as settling after a lost link covers it: what may run again is asked for again, the rest is answered in time and asked after only then.

--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -5,11 +5,8 @@
 import java.net.Socket;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import vetchrill.control.EndpointGroup.Effect;
-import vetchrill.control.Exchange.Outcome;
 import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.FrameReader;
-import vetchrill.protocol.Frames;
 import vetchrill.protocol.InterpreterLines;
 import vetchrill.protocol.MembershipCall;
 import vetchrill.transport.Connection;
@@ -19,8 +16,6 @@
 /** Puts the units of the chain together, and tells them of links, notices and the end. */
 public final class Chain {
     private static final System.Logger LOG = System.getLogger("vetchrill.chain");
-    /** A start of the interpreter this much after the one known is another one. */
-    private static final long ANOTHER_START = 5_000;
 
     final DecisionThread thread;
     final Clock clock;
@@ -33,9 +28,7 @@
     private final Route route;
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicLong unsent = new AtomicLong();
-    private volatile long lastNotice;
-    private long interpreterStart;
-    private volatile boolean leaving;
+    private long lastNotice;
 
     public Chain(DeploymentReader facts, long seed, Clock clock, DecisionThread thread, MembershipCall membership,
             Limits limits) {
@@ -116,39 +109,17 @@
     }
 
     void banner(String state, long sinceStart) {
-        long started = clock.now() - sinceStart;
         boolean first = !admit.begun();
+        LOG.log(System.Logger.Level.INFO, "the interpreter is up: {0}, started {1} ms ago; {2} exchanges open", state,
+                sinceStart / 10, book.size());
         if (first) {
-            LOG.log(System.Logger.Level.INFO, "the interpreter is up: {0}, started {1} ms ago", state,
-                    sinceStart / 10);
+            // It may have come up long after this process, and the cores warm up from its start on.
             facts.deployment.cold |= state.equals("new");
-            admit.begin(route, started);
-        } else {
-            LOG.log(System.Logger.Level.INFO, "link to the interpreter back, {0} exchanges open", book.size());
-            if (started > interpreterStart + ANOTHER_START) {
-                runsAreGone();
-            }
+            admit.begin(route, clock.now() - sinceStart);
         }
-        interpreterStart = started;
         send.bannerRead(first);
     }
 
-    /** Another interpreter knows nothing of what the last one ran: what may run again does, the rest has failed. */
-    private void runsAreGone() {
-        LOG.log(System.Logger.Level.ERROR, "the interpreter started anew");
-        for (Open ex : book.all()) {
-            if (!ex.begun || ex.over()) {
-                continue;
-            }
-            if (!ex.done && ex.group.effect != Effect.REPEATABLE) {
-                book.terminated++;
-                book.answer(ex, Frames.terminated(ex.stream), clock.now());
-            }
-            ex.begun = false;
-            admit.finished(ex, ex.group.effect == Effect.REPEATABLE ? Outcome.STOPPED : Outcome.CUT_OFF, 0);
-        }
-    }
-
     void linkLost(Connection link, String why) {
         LOG.log(System.Logger.Level.WARNING, "link to the interpreter lost: {0}", why);
         send.linkLost(link);
@@ -156,7 +127,6 @@
 
     /** The notice to leave, on any thread. */
     public void leave(long stopAt) {
-        leaving = true;
         thread.post(() -> {
             LOG.log(System.Logger.Level.INFO, "drain: {0} exchanges open on {1} connections, stop in {2} ms",
                     book.size(), book.connections(), (stopAt - clock.now()) / 10);
--- a/src/main/java/vetchrill/routing/Relay.java
+++ b/src/main/java/vetchrill/routing/Relay.java
@@ -45,6 +45,10 @@
             case "gone" -> Outcome.NOTHING_STARTED;
             default -> Outcome.CUT_OFF;
         };
+        if (LOG.isLoggable(System.Logger.Level.DEBUG)) {
+            LOG.log(System.Logger.Level.DEBUG, "over {0} {1} {2} after {3} ms, {4} ms on its run", end, ex.groupName,
+                    id, (now - ex.arrived) / 10, took / 10);
+        }
         if (!ex.done && outcome != Outcome.STOPPED) {
             if (outcome == Outcome.COMPLETED) {
                 Frames.onStream(answer, ex.stream);
--- a/src/main/java/vetchrill/routing/Route.java
+++ b/src/main/java/vetchrill/routing/Route.java
@@ -6,6 +6,8 @@
 
 /** Carries out the module's decisions one by one: to the interpreter, to the stub, or into the book. */
 final class Route implements Host {
+    private static final System.Logger LOG = System.getLogger("vetchrill.route");
+
     private final Clock clock;
     private final DecisionThread thread;
     private final Book book;
@@ -22,12 +24,14 @@
 
     @Override
     public void begin(Exchange ex) {
+        trace("begin", (Open) ex);
         send.apply((Open) ex);
     }
 
     @Override
     public void deny(Exchange ex, long away, boolean giveUp) {
         Open open = (Open) ex;
+        trace("deny", open);
         book.denied++;
         book.answer(open, Frames.denied(open.stream, (away + 9) / 10, giveUp), clock.now());
     }
@@ -35,13 +39,22 @@
     @Override
     public void terminate(Exchange ex) {
         Open open = (Open) ex;
+        trace("terminate", open);
         book.terminated++;
         book.answer(open, Frames.terminated(open.stream), clock.now());
         send.answered(open);
     }
 
+    private void trace(String what, Open ex) {
+        if (LOG.isLoggable(System.Logger.Level.DEBUG)) {
+            LOG.log(System.Logger.Level.DEBUG, "{0} {1} {2} after {3} ms", what, ex.groupName, ex.id,
+                    (clock.now() - ex.arrived) / 10);
+        }
+    }
+
     @Override
     public void health(boolean good) {
+        LOG.log(System.Logger.Level.INFO, "health is {0}", good ? "good" : "bad");
         report.health(good);
     }
 
--- a/src/main/java/vetchrill/transport/Connection.java
+++ b/src/main/java/vetchrill/transport/Connection.java
@@ -23,6 +23,7 @@
         void ended(String why);
     }
 
+    private static final System.Logger LOG = System.getLogger("vetchrill.connection");
     private static final byte[] END = new byte[0];
     private static final int TOGETHER = 16 << 10;
 
@@ -191,6 +192,10 @@
             }
         } catch (IOException e) {
             why = String.valueOf(e.getMessage());
+        } catch (RuntimeException | OutOfMemoryError e) {
+            // Nothing that one peer sends may cost more than its own connection.
+            LOG.log(System.Logger.Level.ERROR, "reading a connection failed", e);
+            why = "failed";
         } finally {
             input.ended(why);
         }
--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -5,11 +5,13 @@
  * It stands in the lowest layer, since every layer reads it. Times are tenths of a millisecond.
  */
 public final class Limits {
+    private static final int CHECKS = 16;
+
     /** What the program is given. */
     public final long memoryBytes;
     public final int descriptors;
 
-    /** Half of the descriptors: the rest is for the link, the reports, the files of the runtime, and a margin. */
+    /** Stubs take half of the descriptors, checks a few more; the rest is for the runtime's own and a margin. */
     public final int connections;
     public final int backlog = 1024;
     public final int threadStack = 144 << 10;
@@ -49,7 +51,7 @@
     public Limits(long memoryBytes, int descriptors) {
         this.memoryBytes = memoryBytes;
         this.descriptors = descriptors;
-        connections = Math.max(1, descriptors / 2);
+        connections = descriptors / 2 + CHECKS;
         unsentInAll = memoryBytes / 12;
     }
 }
--- /dev/null
+++ b/src/test/java/vetchrill/program/ServeTest.java
@@ -0,0 +1,284 @@
+package vetchrill.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+import static vetchrill.StandIns.soon;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+import vetchrill.StandIns;
+import vetchrill.StandIns.Stub;
+
+/** Stories of one instance, started as a process of its own and spoken to over sockets. */
+@Test
+public class ServeTest {
+    private static final String A = "00000000000000aa";
+    private static final String B = "00000000000000bb";
+
+    public void anExchangeIsRunAndItsResultGoesBackUnchanged() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
+            assertEquals(soon(world.interpreter.commands, "a link"), "CONNECT 0");
+            assertEquals(stub.check(), 79);
+            stub.ask(7, "look", A, "APPLY x\r\n\0\u00ff");
+            assertEquals(soon(world.interpreter.commands, "a run"), "APPLY " + A + " look 11\nAPPLY x\r\n\0\u00ff");
+            world.interpreter.value(A, "good", "VALUE\r\n\0\u00fe");
+            assertEquals(stub.read(), new Stub.Frame(4, 7, 79, "\0VALUE\r\n\0\u00fe"));
+        }
+    }
+
+    public void answersComeInTheOrderInWhichRunsEnd() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
+            stub.ask(1, "note", A, "");
+            stub.ask(2, "look", B, "");
+            soon(world.interpreter.commands, "a link");
+            soon(world.interpreter.commands, "a run");
+            soon(world.interpreter.commands, "another run");
+            world.interpreter.value(B, "bad", "");
+            world.interpreter.value(A, "good", "kept");
+            assertEquals(stub.read(), new Stub.Frame(4, 2, 69, "\0"));
+            assertEquals(stub.read(), new Stub.Frame(4, 1, 79, "\0kept"));
+        }
+    }
+
+    public void beforeTheInterpreterIsUpNothingIsWellAndNothingIsReported() throws Exception {
+        try (StandIns world = new StandIns()) {
+            world.interpreter.withholdsBanner = true;
+            world.start();
+            soon(world.interpreter.commands, "a link");
+            try (Stub stub = world.stub()) {
+                assertEquals(stub.check(), 69);
+                assertTrue(world.members.phases.isEmpty(), "reported before it can take work");
+                world.interpreter.banner(0);
+                assertEquals(soon(world.members.phases, "a report"), "UP");
+                assertEquals(stub.check(), 79);
+            }
+        }
+    }
+
+    public void aStubThatDribblesOrDoesNotReadHoldsUpNobody() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub slow = world.stub(); Stub deaf = world.stub();
+                Stub quick = world.stub()) {
+            soon(world.interpreter.commands, "a link");
+            byte[] frame = Stub.exchange(1, "look", A, "slow");
+            slow.send(java.util.Arrays.copyOf(frame, 20));
+            for (int i = 0; i < 200_000; i++) {
+                // Every check is answered, and none of the answers is read.
+                deaf.socket.setSoTimeout(1);
+                try {
+                    deaf.send(Stub.frame(16, i, Stub.payload("")));
+                } catch (java.io.IOException given) {
+                    break;
+                }
+            }
+            quick.ask(1, "look", B, "quick");
+            assertEquals(soon(world.interpreter.commands, "the quick run"), "APPLY " + B + " look 5\nquick");
+            world.interpreter.value(B, "good", "done");
+            assertEquals(quick.read().code(), 79);
+            for (int i = 20; i < frame.length; i++) {
+                slow.send(new byte[] {frame[i]});
+            }
+            assertEquals(soon(world.interpreter.commands, "the slow run"), "APPLY " + A + " look 4\nslow");
+            assertTrue(world.alive());
+        }
+    }
+
+    public void whatCanNotBeAnExchangeIsAnsweredOnItsStreamAndTheConnectionLives() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
+            String t0 = Long.toString(System.currentTimeMillis());
+            List<byte[]> payloads = new ArrayList<>();
+            payloads.add(Stub.payload("", "method", "dance", "rid", A, "t0", t0, "acct", "acme", "mem", "1"));
+            payloads.add(Stub.payload("", "method", "look", "rid", "xx", "t0", t0, "acct", "acme", "mem", "1"));
+            payloads.add(Stub.payload("", "method", "look", "rid", A, "t0", "soon", "acct", "acme", "mem", "1"));
+            payloads.add(Stub.payload("", "method", "look", "rid", A, "t0", t0, "acct", "nobody", "mem", "1"));
+            payloads.add(Stub.payload("", "method", "look", "rid", A, "t0", t0, "acct", "acme", "mem", "-1"));
+            payloads.add(Stub.payload("", "method", "look", "rid", A, "t0", t0, "acct", "acme", "mem", "NaN"));
+            payloads.add(Stub.payload("", "method", "look", "rid", A, "rid", B, "t0", t0, "acct", "acme", "mem", "1"));
+            payloads.add(Stub.payload("x".repeat(2049), "method", "look", "rid", A, "t0", t0, "acct", "acme",
+                    "mem", "1"));
+            payloads.add(new byte[] {9, 3, 'r'});
+            payloads.add(new byte[0]);
+            payloads.add(new byte[200_000]);
+            for (int i = 0; i < payloads.size(); i++) {
+                stub.send(Stub.frame(2, i + 1, payloads.get(i)));
+                assertEquals(stub.read(), new Stub.Frame(4, i + 1, 69, "\0"), "payload " + i);
+            }
+            stub.ask(50, "look", A, "");
+            soon(world.interpreter.commands, "a link");
+            assertEquals(soon(world.interpreter.commands, "a run"), "APPLY " + A + " look 0\n");
+            stub.ask(50, "look", B, "");
+            assertEquals(stub.read(), new Stub.Frame(4, 0, 69, "\0"), "a stream that is open");
+            stub.ask(51, "look", A, "");
+            assertEquals(stub.read(), new Stub.Frame(4, 51, 69, "\0"), "an rid that is open");
+        }
+    }
+
+    public void framesThatCanNotBeSplitEndTheirConnectionOnceAllIsAnswered() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub other = world.stub()) {
+            soon(world.interpreter.commands, "a link");
+            for (byte[] rubbish : List.of(new byte[] {0, 0, 0, 4, 2, 0, 0, 0, 9}, "GET / HTTP/1.1\r\n\r\n".getBytes(),
+                    Stub.frame(3, 1, new byte[0]))) {
+                try (Stub stub = world.stub()) {
+                    stub.ask(1, "look", A, "");
+                    soon(world.interpreter.commands, "a run");
+                    stub.send(rubbish);
+                    assertEquals(stub.read(), new Stub.Frame(4, 0, 69, "\0"));
+                    world.interpreter.value(A, "good", "");
+                    assertEquals(stub.read(), new Stub.Frame(4, 1, 79, "\0"));
+                    assertNull(stub.read());
+                }
+            }
+            assertEquals(other.check(), 79);
+        }
+    }
+
+    public void afterALostLinkNothingMutatingIsStartedTwiceAndNothingIsLost() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
+            soon(world.interpreter.commands, "a link");
+            stub.ask(1, "look", A, "");
+            stub.ask(2, "note", B, "");
+            stub.ask(3, "look", "00000000000000cc", "");
+            soon(world.interpreter.commands, "a run");
+            soon(world.interpreter.commands, "a run");
+            stub.check();
+            world.interpreter.value("00000000000000cc", "good", "first");
+            assertEquals(stub.read().stream(), 3);
+            world.interpreter.cut();
+            world.interpreter.value("00000000000000dd", "good", "of no exchange");
+            assertEquals(soon(world.interpreter.commands, "a link"), "APPLY 00000000000000cc look 0\n");
+            assertEquals(soon(world.interpreter.commands, "a link"), "CONNECT 1");
+            assertEquals(soon(world.interpreter.commands, "a run"), "APPLY " + A + " look 0\n");
+            // The mutating one may have begun: it gets its error in time, and only then is it asked after.
+            assertEquals(stub.read(), new Stub.Frame(4, 1, 69, "\0"));
+            assertEquals(stub.read(), new Stub.Frame(4, 2, 69, "\0"));
+            assertEquals(soon(world.interpreter.commands, "word of the run"), "APPLY " + B + " note 0\n");
+            world.interpreter.value(B, "gone", "");
+            stub.ask(4, "note", "00000000000000ee", "");
+            assertEquals(soon(world.interpreter.commands, "a run"), "APPLY 00000000000000ee note 0\n");
+        }
+    }
+
+    public void aResultToldWhileThereWasNoLinkIsRelayedAfterIt() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
+            soon(world.interpreter.commands, "a link");
+            stub.ask(1, "note", A, "");
+            soon(world.interpreter.commands, "a run");
+            world.interpreter.cut();
+            world.interpreter.value(A, "good", "late");
+            assertEquals(stub.read(), new Stub.Frame(4, 1, 79, "\0late"));
+        }
+    }
+
+    public void whileTheInterpreterIsSilentWhatIsDueIsAnsweredInTime() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
+            world.interpreter.silent = true;
+            long asked = System.nanoTime();
+            stub.ask(1, "note", A, "");
+            assertEquals(stub.read(), new Stub.Frame(4, 1, 69, "\0"));
+            long took = (System.nanoTime() - asked) / 1_000_000;
+            assertTrue(took > 1000 && took < 3100, "answered after " + took + " ms");
+        }
+    }
+
+    public void idleConnectionsAreToldSoAndOneForChecksIsNot() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub(); Stub checks = world.stub()) {
+            soon(world.interpreter.commands, "a link");
+            assertEquals(checks.check(), 79);
+            stub.ask(1, "look", A, "");
+            soon(world.interpreter.commands, "a run");
+            world.interpreter.gauges = "0.5 1 0.1 500";
+            world.interpreter.value(A, "good", "");
+            assertEquals(stub.read().code(), 79);
+            assertEquals(stub.read(), new Stub.Frame(64, 0, 0, ""));
+            // What crosses the word on its way is answered as any other.
+            stub.ask(2, "look", B, "");
+            soon(world.interpreter.commands, "a run");
+            world.interpreter.value(B, "good", "");
+            assertEquals(stub.read(), new Stub.Frame(4, 2, 79, "\0"));
+            assertEquals(checks.check(), 79);
+        }
+    }
+
+    public void aDrainAnswersAllRunsNothingPastTheGraceAndEndsWithZero() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
+            soon(world.interpreter.commands, "a link");
+            stub.ask(1, "look", A, "");
+            soon(world.interpreter.commands, "a run");
+            stub.ask(2, "note", B, "");
+            soon(world.interpreter.commands, "a run");
+            world.terminate();
+            world.untilLogged("drain: 2 exchanges open");
+            world.terminate();
+            world.members.until("OUT");
+            assertEquals(stub.check(), 69);
+            world.interpreter.value(A, "good", "");
+            assertEquals(stub.read().code(), 79);
+            Thread.sleep(800);
+            stub.ask(3, "look", "00000000000000cc", "");
+            assertEquals(stub.read().code(), 66, "arrived past the grace");
+            assertEquals(stub.read(), new Stub.Frame(64, 0, 0, ""), "nothing new on this connection");
+            assertEquals(stub.read(), new Stub.Frame(4, 2, 69, "\0"), "the run that never ended");
+            assertNull(stub.read());
+            assertEquals(world.exit(), 0);
+            assertTrue(world.logged().contains("drained"), world.logged());
+        }
+    }
+
+    public void aMembershipServiceThatFailsCostsALogLine() throws Exception {
+        try (StandIns world = new StandIns()) {
+            world.members.status = 503;
+            world.up();
+            try (Stub stub = world.stub()) {
+                assertEquals(stub.check(), 79);
+                world.untilLogged("answered 503");
+                world.members.status = 204;
+                world.untilLogged("taken again");
+                assertEquals(world.logged().split("answered 503").length, 2, "told once for each row of failures");
+            }
+        }
+    }
+
+    public void connectionsPastTheLimitAreClosedAndTheOthersLive() throws Exception {
+        try (StandIns world = new StandIns().up()) {
+            List<Stub> many = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                many.add(world.stub());
+            }
+            world.untilLogged("closed");
+            assertEquals(many.get(0).check(), 79);
+            for (Stub stub : many) {
+                stub.close();
+            }
+            Stub again = world.stub();
+            for (int i = 0; i < 100 && again.check() < 0; i++) {
+                Thread.sleep(50);
+                again = world.stub();
+            }
+            assertTrue(world.alive());
+        }
+    }
+
+    public void whatIsWrongAtStartIsToldInOneLine() throws Exception {
+        String[][] wrongs = {
+            {"\"name\":\"n1\"", "\"name\":\"\"", "name"},
+            {"\"stop_ms\":2500,", "", "stop_ms"},
+            {"\"vm\":\"127.0.0.1:", "\"vm\":\"nowhere:", "vm"},
+            {"\"seed\":\"", "\"seed\":\"x", "seed"},
+            {"\"single_shot\"", "\"guarded\"", "note has keys"},
+            {"\"listFollows\":true", "\"preemption\":\"drop\"", "stopped"},
+            {"\"listFollows\":true", "\"say\":\"tokens\"", "free value"},
+            {"\"settings\":{", "\"settings\":{{", "GW_CONFIG"},
+        };
+        for (String[] wrong : wrongs) {
+            try (StandIns world = new StandIns()) {
+                world.instead.put(wrong[0], wrong[1]);
+                assertEquals(world.start().exit(), 2, wrong[2]);
+                world.untilLogged("vetchrill: ");
+                assertTrue(world.logged().contains(wrong[2]), world.logged());
+                assertFalse(world.logged().contains("\n"), world.logged());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/vetchrill/protocol/SplittingTest.java
@@ -0,0 +1,122 @@
+package vetchrill.protocol;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.testng.annotations.Test;
+import vetchrill.StandIns.Stub;
+import vetchrill.transport.Connection;
+import vetchrill.transport.Limits;
+
+/** What a peer writes is read the same wherever the network cuts it. */
+@Test
+public class SplittingTest {
+    private final Limits limits = new Limits(192 << 20, 64);
+
+    /** Gives the bytes in two parts, the rest of the first once more with the second, as a connection does. */
+    private static void inTwo(Connection.Input input, byte[] bytes, int cut) {
+        int from = 0;
+        for (int to : new int[] {cut, bytes.length}) {
+            int took = 1;
+            while (took > 0 && from < to) {
+                byte[] seen = Arrays.copyOf(bytes, to);
+                took = input.take(seen, from, to);
+                from += Math.max(0, took);
+                Arrays.fill(seen, (byte) '?');
+            }
+        }
+        input.ended("over");
+    }
+
+    public void framesAtEveryByte() throws IOException {
+        java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
+        all.write(Stub.exchange(1, "look", "00000000000000aa", "b\0dy"));
+        all.write(Stub.frame(2, 2, new byte[20_000]));
+        all.write(Stub.frame(16, 3, Stub.payload("")));
+        byte[] bytes = all.toByteArray();
+        for (int cut = 0; cut <= bytes.length; cut += cut < 300 || cut > 20_000 ? 1 : 97) {
+            List<String> seen = new ArrayList<>();
+            inTwo(new FrameReader(limits, new FrameReader.Taker() {
+                @Override
+                public void frame(int type, int stream, byte[] buf, int from, int to) {
+                    Fields fields = new Fields();
+                    String wrong = fields.read(buf, from, to);
+                    seen.add(type + " " + stream + " " + wrong + " " + fields.text("rid") + " "
+                            + fields.number("mem") + " " + new String(buf, fields.end(), to - fields.end(),
+                            StandardCharsets.ISO_8859_1));
+                }
+
+                @Override
+                public void oversized(int type, int stream) {
+                    seen.add("oversized " + type + " " + stream);
+                }
+
+                @Override
+                public void broken(String reason) {
+                    seen.add(reason);
+                }
+
+                @Override
+                public void ended(String why) {
+                    seen.add(why);
+                }
+            }), bytes, cut);
+            assertEquals(seen, List.of("2 1 null 00000000000000aa 24.5 b\0dy", "oversized 2 2",
+                    "16 3 null null NaN ", "over"), "cut at " + cut);
+        }
+    }
+
+    public void linesAtEveryByte() {
+        byte[] bytes = ("BANNER old 3600000\r\nVALUE 1 aa good 12.5 6\r\nA\r\nB\r\n\r\nTOPS 7 0.5 1 0.1 3\r\n"
+                + "NOVELTY 1 2\r\nTRACE 2 hello there\r\nVALUE 3 bb gone 0 0\r\n\r\nERROR APPLY cc\r\n")
+                .getBytes(StandardCharsets.UTF_8);
+        for (int cut = 0; cut <= bytes.length; cut++) {
+            List<String> seen = new ArrayList<>();
+            inTwo(new InterpreterLines(limits, new InterpreterLines.Taker() {
+                @Override
+                public void banner(String state, long sinceStart) {
+                    seen.add(state + " " + sinceStart);
+                }
+
+                @Override
+                public void value(long number, String id, String end, long took, byte[] buf, int from, int to) {
+                    seen.add(number + " " + id + " " + end + " " + took + " "
+                            + new String(buf, from, to - from, StandardCharsets.UTF_8));
+                }
+
+                @Override
+                public void gauges(String tag, double[] row) {
+                    seen.add(tag + " " + Arrays.toString(row));
+                }
+
+                @Override
+                public void error(String text) {
+                    seen.add(text);
+                }
+
+                @Override
+                public void remark(long number, String text) {
+                    seen.add("remark " + number);
+                }
+
+                @Override
+                public void ended(String why) {
+                    seen.add(why);
+                }
+            }), bytes, cut);
+            assertEquals(seen, List.of("old 36000000", "1 aa good 125 A\r\nB\r\n", "7 [0.5, 1.0, 0.1, 3.0]", "remark 2",
+                    "3 bb gone 0 ", "ERROR APPLY cc", "over"), "cut at " + cut);
+        }
+    }
+
+    public void answersAreAsThePageDraws() {
+        assertEquals(Frames.denied(5, 250, true), new byte[] {0, 0, 0, 29, 4, 0, 0, 0, 5, 66, 2,
+            7, 'b', 'a', 'c', 'k', 'o', 'f', 'f', 0, 3, '2', '5', '0', 5, 'f', 'i', 'n', 'a', 'l', 0, 1, '1'});
+        assertEquals(Frames.denied(5, 0, false), new byte[] {0, 0, 0, 7, 4, 0, 0, 0, 5, 66, 0});
+        assertEquals(Frames.nothingNew(), new byte[] {0, 0, 0, 5, 64, 0, 0, 0, 0});
+    }
+}
