--- a/src/main/java/vetchrill/protocol/FrameReader.java
+++ b/src/main/java/vetchrill/protocol/FrameReader.java
@@ -15,7 +15,8 @@
         /** The frames can't be told apart any more. */
         void broken(String reason);
 
-        void ended(String why);
+        /** Nothing more comes; {@code gone} where no answer would arrive either. */
+        void ended(boolean gone);
     }
 
     private static final int HEAD = 9;
@@ -67,7 +68,7 @@
     }
 
     @Override
-    public void ended(String why) {
-        taker.ended(why);
+    public void ended(String why, boolean gone) {
+        taker.ended(gone);
     }
 }
--- a/src/main/java/vetchrill/protocol/InterpreterLines.java
+++ b/src/main/java/vetchrill/protocol/InterpreterLines.java
@@ -98,7 +98,7 @@
     }
 
     @Override
-    public void ended(String why) {
+    public void ended(String why, boolean gone) {
         taker.ended(why);
     }
 
--- a/src/main/java/vetchrill/routing/Admit.java
+++ b/src/main/java/vetchrill/routing/Admit.java
@@ -58,6 +58,15 @@
         controller.arrived(ex, now);
     }
 
+    /** A connection that was reset takes its answers with it: its callers have left, whoever they were. */
+    void left(Stub stub) {
+        LOG.log(System.Logger.Level.DEBUG, "a connection was reset with {0} exchanges open", stub.open.size());
+        for (Open ex : book.lost(stub)) {
+            controller.callerLeft(ex, clock.now());
+            book.forgetIfOver(ex);
+        }
+    }
+
     void finished(Open ex, Exchange.Outcome outcome, long took) {
         controller.finished(ex, outcome, took, clock.now());
         book.forgetIfOver(ex);
--- a/src/main/java/vetchrill/routing/Book.java
+++ b/src/main/java/vetchrill/routing/Book.java
@@ -42,6 +42,16 @@
         closeIfDone(stub);
     }
 
+    /** Takes from the stub what it will never hear the answer of. */
+    List<Open> lost(Stub stub) {
+        List<Open> lost = new ArrayList<>(stub.open.values());
+        for (Open ex : lost) {
+            ex.done = true;
+        }
+        stub.open.clear();
+        return lost;
+    }
+
     boolean has(String id) {
         return byId.containsKey(id);
     }
--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -77,9 +77,9 @@
                 }
 
                 @Override
-                public void ended(String why) {
+                public void ended(String why, boolean gone) {
                     connections.decrementAndGet();
-                    frames.ended(why);
+                    frames.ended(why, gone);
                 }
             }, limits.frame);
             if (!started) {
--- a/src/main/java/vetchrill/routing/Send.java
+++ b/src/main/java/vetchrill/routing/Send.java
@@ -61,8 +61,17 @@
         }
     }
 
-    /** An exchange that is answered can't be started any more: to ask again only tells whether it runs. */
+    /**
+     * An exchange that is answered can't be started any more: to ask again only tells whether it runs. Not at once,
+     * for a run that ended just now is no longer running, and the answer may be read later than the question.
+     */
     void answered(Open ex) {
+        if (ex.begun && !ex.over() && ex.appliedOn != linkNumber) {
+            thread.at(clock.now() + limits.doubtWait, () -> askAfter(ex));
+        }
+    }
+
+    private void askAfter(Open ex) {
         if (settled && ex.begun && !ex.over() && ex.appliedOn != linkNumber) {
             ex.appliedOn = linkNumber;
             link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
@@ -108,7 +117,9 @@
             }
             if (ex.appliedOn == 0 && ex.done) {
                 admit.finished(ex, Outcome.NOTHING_STARTED, 0);
-            } else if (ex.appliedOn == 0 || ex.done || ex.group.effect == Effect.REPEATABLE) {
+            } else if (ex.done) {
+                answered(ex);
+            } else if (ex.appliedOn == 0 || ex.group.effect == Effect.REPEATABLE) {
                 ex.appliedOn = linkNumber;
                 link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
             }
--- a/src/main/java/vetchrill/routing/Stub.java
+++ b/src/main/java/vetchrill/routing/Stub.java
@@ -1,13 +1,13 @@
 package vetchrill.routing;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import vetchrill.transport.Connection;
 
 /** One connection of a client stub, as the decision thread knows it. */
 final class Stub {
     final Connection connection;
-    final Map<Integer, Open> open = new HashMap<>();
+    final Map<Integer, Open> open = new LinkedHashMap<>();
     long lastUsed;
     /** It carried an exchange; one for health checks is never closed for being idle. */
     boolean carried;
--- a/src/main/java/vetchrill/routing/TakeIn.java
+++ b/src/main/java/vetchrill/routing/TakeIn.java
@@ -122,7 +122,12 @@
     }
 
     @Override
-    public void ended(String why) {
-        thread.post(() -> book.ended(stub));
+    public void ended(boolean gone) {
+        thread.post(() -> {
+            if (gone) {
+                admit.left(stub);
+            }
+            book.ended(stub);
+        });
     }
 }
--- a/src/main/java/vetchrill/transport/Connection.java
+++ b/src/main/java/vetchrill/transport/Connection.java
@@ -19,8 +19,8 @@
         /** Takes whole messages from the slice; how many bytes it took, 0 to be called with more, -1 to stop. */
         int take(byte[] buf, int from, int to);
 
-        /** Nothing more will be read. */
-        void ended(String why);
+        /** Nothing more will be read; {@code gone} where nothing that is sent would arrive any more. */
+        void ended(String why, boolean gone);
     }
 
     private static final System.Logger LOG = System.getLogger("vetchrill.connection");
@@ -150,6 +150,7 @@
 
     private void read(Input input, int longestMessage) {
         String why = "closed by the peer";
+        boolean lost = false;
         try {
             InputStream in = socket.getInputStream();
             byte[] buf = new byte[limits.firstBuffer];
@@ -192,12 +193,13 @@
             }
         } catch (IOException e) {
             why = String.valueOf(e.getMessage());
+            lost = true;
         } catch (RuntimeException | OutOfMemoryError e) {
             // Nothing that one peer sends may cost more than its own connection.
             LOG.log(System.Logger.Level.ERROR, "reading a connection failed", e);
             why = "failed";
         } finally {
-            input.ended(why);
+            input.ended(why, lost);
         }
     }
 }
--- a/src/main/java/vetchrill/transport/InterpreterLink.java
+++ b/src/main/java/vetchrill/transport/InterpreterLink.java
@@ -58,9 +58,9 @@
                     }
 
                     @Override
-                    public void ended(String why) {
+                    public void ended(String why, boolean gone) {
                         connection.abort();
-                        input.ended(why);
+                        input.ended(why, gone);
                         over.countDown();
                     }
                 }, limits.line);
--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -36,9 +36,12 @@
     public final long connectWait = 10_000;
     public final long firstPause = 200;
     public final long longestPause = 10_000;
-    /** One report may be lost without the entry lapsing. */
-    public final long reportEvery = 9_000;
-    public final long reportWait = 10_000;
+    /** Together under the three seconds after which an entry lapses, so that one report may be lost. */
+    public final long reportEvery = 8_000;
+    public final long reportWait = 15_000;
+    public final long reportAgain = 2_000;
+    /** After this an answer has surely been read, and what the interpreter told before it as well. */
+    public final long doubtWait = 5_000;
     /** A peer told that nothing new is taken on a connection has so long to close it. */
     public final long closeWait = 50_000;
     /** The end of a drain: all connections told, no new connections, no new reading, then the end. */
--- a/src/test/java/vetchrill/StandIns.java
+++ b/src/test/java/vetchrill/StandIns.java
@@ -76,6 +76,7 @@
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", path, "vetchrill.Main", "serve");
         builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("VETCHRILL_LOG", "DEBUG");
         builder.environment().remove("GW_NAME");
         builder.environment().remove("GW_LISTEN");
         builder.redirectErrorStream(true);
