--- a/src/main/java/vetchrill/routing/Admit.java
+++ b/src/main/java/vetchrill/routing/Admit.java
@@ -4,6 +4,7 @@
 import vetchrill.control.OverloadController;
 import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.Frames;
+import vetchrill.transport.Limits;
 
 /** Hands to the module what happened and pulls its decisions. */
 final class Admit {
@@ -13,17 +14,20 @@
     private final long seed;
     private final Clock clock;
     private final Book book;
+    private final Limits limits;
     private Route route;
     private OverloadController controller;
     private double[] gauges = new double[0];
     /** The oldest that an exchange was when it came to the decision thread, since the last summary. */
     long oldest;
 
-    Admit(DeploymentReader facts, long seed, Clock clock, Book book) {
+    Admit(DeploymentReader facts, long seed, Clock clock, Book book,
+            Limits limits) {
         this.facts = facts;
         this.seed = seed;
         this.clock = clock;
         this.book = book;
+        this.limits = limits;
     }
 
     /** The interpreter is up: only now is there something to decide on, and known since when it warms up. */
@@ -42,15 +46,18 @@
             // An answer on its stream would be taken for that of the exchange which has it.
             LOG.log(System.Logger.Level.WARNING, "bad input: stream {0} used while it is open", ex.stream);
             ex.stub.connection.send(Frames.terminated(0));
+            book.drop(ex);
             return;
         }
         if (book.has(ex.id)) {
             LOG.log(System.Logger.Level.WARNING, "bad input: rid {0} used while it is open", ex.id);
             ex.stub.connection.send(Frames.terminated(ex.stream));
+            book.drop(ex);
             return;
         }
-        if (controller == null) {
+        if (controller == null || ex.stub.open.size() >= limits.openPerConnection) {
             ex.stub.connection.send(Frames.denied(ex.stream, 0, false));
+            book.drop(ex);
             return;
         }
         oldest = Math.max(oldest, now - ex.arrived);
--- a/src/main/java/vetchrill/routing/Book.java
+++ b/src/main/java/vetchrill/routing/Book.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import vetchrill.protocol.Frames;
 import vetchrill.transport.Limits;
 
@@ -14,6 +15,7 @@
 final class Book {
     private final Limits limits;
     private final DecisionThread thread;
+    private final AtomicLong heldBytes;
     private final Map<String, Open> byId = new LinkedHashMap<>();
     private final Set<Stub> stubs = new LinkedHashSet<>();
     private long idleTime = Long.MAX_VALUE;
@@ -24,9 +26,10 @@
     int late;
     int idleClosed;
 
-    Book(Limits limits, DecisionThread thread) {
+    Book(Limits limits, DecisionThread thread, AtomicLong heldBytes) {
         this.limits = limits;
         this.thread = thread;
+        this.heldBytes = heldBytes;
     }
 
     void opened(Stub stub) {
@@ -60,6 +63,11 @@
         return byId.get(id);
     }
 
+    /** It never came to be an exchange. */
+    void drop(Open ex) {
+        heldBytes.addAndGet(-ex.body.length);
+    }
+
     void add(Open ex) {
         byId.put(ex.id, ex);
         ex.stub.open.put(ex.stream, ex);
@@ -82,8 +90,9 @@
     /** Forgotten once it is answered and no word of a run can come any more. */
     void forgetIfOver(Open ex) {
         if (ex.done && ex.over()) {
-            byId.remove(ex.id);
-            ex.body = null;
+            if (byId.remove(ex.id) != null) {
+                drop(ex);
+            }
         }
     }
 
--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -28,6 +28,7 @@
     private final Route route;
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicLong unsent = new AtomicLong();
+    private final AtomicLong heldBytes = new AtomicLong();
     private long lastNotice;
 
     public Chain(DeploymentReader facts, long seed, Clock clock, DecisionThread thread, MembershipCall membership,
@@ -36,8 +37,8 @@
         this.limits = limits;
         this.clock = clock;
         this.thread = thread;
-        book = new Book(limits, thread);
-        admit = new Admit(facts, seed, clock, book);
+        book = new Book(limits, thread, heldBytes);
+        admit = new Admit(facts, seed, clock, book, limits);
         send = new Send(limits, thread, clock, book, admit);
         report = new Report(membership, limits);
         route = new Route(clock, thread, book, send, report);
@@ -68,9 +69,9 @@
             Connection connection = new Connection(socket, name, limits, unsent);
             Stub stub = new Stub(connection, clock.now());
             thread.post(() -> book.opened(stub));
-            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report);
+            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report, heldBytes);
             FrameReader frames = new FrameReader(limits, takeIn);
-            boolean started = connection.start(name, new Connection.Input() {
+            boolean started = connection.start(new Connection.Input() {
                 @Override
                 public int take(byte[] buf, int from, int to) {
                     return frames.take(buf, from, to);
@@ -83,7 +84,6 @@
                 }
             }, limits.frame);
             if (!started) {
-                LOG.log(System.Logger.Level.ERROR, "no thread for a connection: closed");
                 connections.decrementAndGet();
                 thread.post(() -> book.ended(stub));
             }
--- a/src/main/java/vetchrill/routing/Clock.java
+++ b/src/main/java/vetchrill/routing/Clock.java
@@ -5,6 +5,8 @@
  * all else runs on from there, so that a step of the clock can't stop a timer or lose a due answer.
  */
 public final class Clock {
+    private static final long STEP = 200;
+
     private final long origin = wall();
     private final long started = System.nanoTime();
 
@@ -12,9 +14,15 @@
         return origin + (System.nanoTime() - started) / 100_000;
     }
 
-    /** How long ago something happened that another process stamped, in Unix milliseconds. */
-    long age(long stamp, long oldest) {
-        return Math.max(0, Math.min(oldest, wall() - stamp * 10));
+    /**
+     * What another process stamped, in Unix milliseconds, on this clock. Two readings a moment apart would swap
+     * exchanges that came together, so only a real step of the system's clock is taken off.
+     */
+    long stamped(long stamp, long oldest) {
+        long now = now();
+        long step = wall() - now;
+        long at = stamp * 10 - (Math.abs(step) > STEP ? step : 0);
+        return Math.max(now - oldest, Math.min(now, at));
     }
 
     private static long wall() {
--- a/src/main/java/vetchrill/routing/Open.java
+++ b/src/main/java/vetchrill/routing/Open.java
@@ -8,8 +8,8 @@
     final String groupName;
     final Stub stub;
     final int stream;
-    /** The only part of its frame that outlives the buffer; let go once its run is over. */
-    byte[] body;
+    /** The only part of its frame that outlives the buffer. */
+    final byte[] body;
     /** It has its one final answer. */
     boolean done;
     /** The module has begun it. */
--- a/src/main/java/vetchrill/routing/TakeIn.java
+++ b/src/main/java/vetchrill/routing/TakeIn.java
@@ -1,6 +1,7 @@
 package vetchrill.routing;
 
 import java.util.Arrays;
+import java.util.concurrent.atomic.AtomicLong;
 import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.Fields;
 import vetchrill.protocol.FrameReader;
@@ -21,11 +22,12 @@
     private final Admit admit;
     private final Book book;
     private final Report report;
+    private final AtomicLong heldBytes;
     private final Fields fields = new Fields();
     private boolean toldBad;
 
     TakeIn(DeploymentReader facts, Limits limits, DecisionThread thread, Clock clock, Stub stub, Admit admit,
-            Book book, Report report) {
+            Book book, Report report, AtomicLong heldBytes) {
         this.facts = facts;
         this.limits = limits;
         this.thread = thread;
@@ -34,6 +36,7 @@
         this.admit = admit;
         this.book = book;
         this.report = report;
+        this.heldBytes = heldBytes;
     }
 
     @Override
@@ -76,12 +79,17 @@
         if (to - fields.end() > limits.body) {
             return "a body of " + (to - fields.end()) + " bytes";
         }
+        if (heldBytes.addAndGet(to - fields.end()) > limits.bodiesInAll) {
+            heldBytes.addAndGet(fields.end() - to);
+            stub.connection.send(Frames.denied(stream, 0, false));
+            return null;
+        }
         Open ex = new Open(id, facts.groupNames.get(group), stub, stream,
                 Arrays.copyOfRange(buf, fields.end(), to));
         ex.group = facts.deployment.groups.get(group);
         ex.customer = customer;
         ex.kb = kb;
-        ex.arrived = clock.now() - clock.age(stamp, limits.oldest);
+        ex.arrived = clock.stamped(stamp, limits.oldest);
         thread.post(() -> admit.arrived(ex));
         return null;
     }
--- a/src/main/java/vetchrill/transport/Connection.java
+++ b/src/main/java/vetchrill/transport/Connection.java
@@ -6,6 +6,8 @@
 import java.net.Socket;
 import java.util.Arrays;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -32,7 +34,8 @@
     private final AtomicLong unsentInAll;
     private final AtomicInteger unsent = new AtomicInteger();
     private final LinkedBlockingQueue<byte[]> toSend = new LinkedBlockingQueue<>();
-    private final Thread writer;
+    private final String name;
+    private final AtomicBoolean writing = new AtomicBoolean();
     private volatile boolean gone;
 
     /** {@code unsentInAll} counts for all connections together. */
@@ -41,21 +44,23 @@
         this.limits = limits;
         this.unsentInAll = unsentInAll;
         socket.setTcpNoDelay(true);
-        writer = new Thread(null, this::write, name + "-writer", limits.threadStack);
-        writer.setDaemon(true);
+        this.name = name;
     }
 
-    /** Starts reading and writing; false where the machine has no more threads to give. */
-    public boolean start(String name, Input input, int longestMessage) {
-        Thread reader = new Thread(null, () -> read(input, longestMessage), name + "-reader", limits.threadStack);
-        reader.setDaemon(true);
+    /** Starts reading; false where the machine has no more threads to give. */
+    public boolean start(Input input, int longestMessage) {
+        return started(() -> read(input, longestMessage), "-reader");
+    }
+
+    private boolean started(Runnable work, String what) {
+        Thread thread = new Thread(null, work, name + what, limits.threadStack);
+        thread.setDaemon(true);
         try {
-            writer.start();
-            reader.start();
+            thread.start();
             return true;
         } catch (OutOfMemoryError noThread) {
+            LOG.log(System.Logger.Level.ERROR, "no thread for a connection: it is closed");
             abort();
-            toSend.add(END);
             return false;
         }
     }
@@ -71,12 +76,21 @@
         if (mine > limits.unsentPerConnection || all > limits.unsentInAll && mine > limits.frame) {
             abort();
         }
+        give(message);
+    }
+
+    private void give(byte[] message) {
         toSend.add(message);
+        if (!writing.getAndSet(true) && !started(this::write, "-writer")) {
+            letGo();
+        }
     }
 
     /** Closes once all that was given before is written. */
     public void closeWhenSent() {
-        toSend.add(END);
+        if (!gone) {
+            give(END);
+        }
     }
 
     public boolean allSent() {
@@ -95,7 +109,9 @@
         } catch (IOException e) {
             // Closing is all that was wanted.
         }
-        toSend.add(END);
+        if (writing.get()) {
+            toSend.add(END);
+        }
     }
 
     private void write() {
@@ -103,7 +119,15 @@
         try {
             OutputStream out = socket.getOutputStream();
             while (true) {
-                byte[] message = toSend.take();
+                // A thread costs fifty kilobytes of touched stack: one that only waits is let go after a while.
+                byte[] message = toSend.poll(limits.writerWaits / 10, TimeUnit.MILLISECONDS);
+                if (message == null) {
+                    writing.set(false);
+                    if (toSend.isEmpty() || writing.getAndSet(true)) {
+                        return;
+                    }
+                    continue;
+                }
                 int filled = 0;
                 int left = 0;
                 // What waits already goes out in one write, for each write costs a switch on a shared core.
@@ -133,19 +157,14 @@
             }
         } catch (IOException | InterruptedException e) {
             // The reader meets the same end and tells of it.
-        } finally {
-            gone = true;
-            unsentInAll.addAndGet(-unsent.getAndSet(0));
-            abortQuietly();
         }
+        letGo();
     }
 
-    private void abortQuietly() {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // As in abort.
-        }
+    private void letGo() {
+        abort();
+        toSend.clear();
+        unsentInAll.addAndGet(-unsent.getAndSet(0));
     }
 
     private void read(Input input, int longestMessage) {
--- a/src/main/java/vetchrill/transport/InterpreterLink.java
+++ b/src/main/java/vetchrill/transport/InterpreterLink.java
@@ -51,7 +51,7 @@
                 long since = System.nanoTime();
                 CountDownLatch over = new CountDownLatch(1);
                 Connection.Input input = opened.apply(connection);
-                boolean started = connection.start(name, new Connection.Input() {
+                boolean started = connection.start(new Connection.Input() {
                     @Override
                     public int take(byte[] buf, int from, int to) {
                         return input.take(buf, from, to);
--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -23,14 +23,16 @@
     public final int frame = 16 << 10;
     public final int longestFrame = 262_144;
     public final int body = 2 << 10;
-    public final int result = 4 << 10;
     public final int line = 64 << 10;
     /** Bytes that may wait for one peer that does not read: all its open exchanges with the largest results. */
     public final int unsentPerConnection = 192 << 10;
     public final long unsentInAll;
+    /** Bodies of open exchanges; past it exchanges are denied before they are kept, lest the heap run out. */
+    public final long bodiesInAll;
 
     /** An arrival stamped earlier is taken to be so old. */
     public final long oldest = 600_000;
+    public final long writerWaits = 20_000;
     /** The interpreter's gauges are waited for so long; then the last known ones are used. */
     public final long gaugeWait = 500;
     public final long connectWait = 10_000;
@@ -56,5 +58,6 @@
         this.descriptors = descriptors;
         connections = descriptors / 2 + CHECKS;
         unsentInAll = memoryBytes / 12;
+        bodiesInAll = memoryBytes / 8;
     }
 }
