--- a/src/main/java/vetchrill/routing/TakeIn.java
+++ b/src/main/java/vetchrill/routing/TakeIn.java
@@ -76,6 +76,16 @@
         if (!(kb > 0 && kb < LARGEST_KB)) {
             return "no mem within its range";
         }
+        double rank = fields.number("prio");
+        if (!(rank >= 0 && rank < 1)) {
+            return "no prio within its range";
+        }
+        if (fields.whole("peer") < 0) {
+            return "no peer";
+        }
+        if (stream == 0) {
+            return "an exchange on stream 0";
+        }
         if (to - fields.end() > limits.body) {
             return "a body of " + (to - fields.end()) + " bytes";
         }
--- a/src/test/java/vetchrill/program/ServeTest.java
+++ b/src/test/java/vetchrill/program/ServeTest.java
@@ -118,16 +118,26 @@
     public void whatCanNotBeAnExchangeIsAnsweredOnItsStreamAndTheConnectionLives() throws Exception {
         try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
             String t0 = Long.toString(System.currentTimeMillis());
+            String[] right = {"method", "look", "rid", A, "t0", t0, "peer", "4", "acct", "acme", "mem", "1", "prio",
+                "0.5"};
+            String[][] wrongs = {{"method", "dance"}, {"rid", "xx"}, {"t0", "soon"}, {"peer", "-1"}, {"acct", "nobody"},
+                {"mem", "-1"}, {"mem", "NaN"}, {"mem", "2000"}, {"prio", "1"}, {"prio", "high"}};
             List<byte[]> payloads = new ArrayList<>();
-            payloads.add(Stub.payload("", "method", "dance", "rid", A, "t0", t0, "acct", "acme", "mem", "1"));
-            payloads.add(Stub.payload("", "method", "look", "rid", "xx", "t0", t0, "acct", "acme", "mem", "1"));
-            payloads.add(Stub.payload("", "method", "look", "rid", A, "t0", "soon", "acct", "acme", "mem", "1"));
-            payloads.add(Stub.payload("", "method", "look", "rid", A, "t0", t0, "acct", "nobody", "mem", "1"));
-            payloads.add(Stub.payload("", "method", "look", "rid", A, "t0", t0, "acct", "acme", "mem", "-1"));
-            payloads.add(Stub.payload("", "method", "look", "rid", A, "t0", t0, "acct", "acme", "mem", "NaN"));
-            payloads.add(Stub.payload("", "method", "look", "rid", A, "rid", B, "t0", t0, "acct", "acme", "mem", "1"));
-            payloads.add(Stub.payload("x".repeat(2049), "method", "look", "rid", A, "t0", t0, "acct", "acme",
-                    "mem", "1"));
+            for (String[] wrong : wrongs) {
+                String[] fields = right.clone();
+                fields[Arrays.asList(right).indexOf(wrong[0]) + 1] = wrong[1];
+                payloads.add(Stub.payload("", fields));
+            }
+            for (int missing = 0; missing < right.length; missing += 2) {
+                List<String> fields = new ArrayList<>(Arrays.asList(right));
+                fields.subList(missing, missing + 2).clear();
+                payloads.add(Stub.payload("", fields.toArray(new String[0])));
+            }
+            String[] twice = Arrays.copyOf(right, right.length + 2);
+            twice[right.length] = "rid";
+            twice[right.length + 1] = B;
+            payloads.add(Stub.payload("", twice));
+            payloads.add(Stub.payload("x".repeat(2049), right));
             payloads.add(new byte[] {9, 3, 'r'});
             payloads.add(new byte[0]);
             payloads.add(new byte[200_000]);
@@ -287,11 +297,11 @@
             String body = "x".repeat(2048);
             List<Stub> stubs = List.of(world.stub(), world.stub(), world.stub());
             for (int i = 0; i < 64; i++) {
-                stubs.get(i / 32).ask(i, "note", String.format("%016x", i), body);
+                stubs.get(i / 32).ask(i + 1, "note", String.format("%016x", i), body);
                 soon(world.interpreter.commands, "run " + i);
             }
-            stubs.get(0).ask(64, "note", A, "");
-            assertEquals(stubs.get(0).read(), new Stub.Frame(4, 64, 66, "\0"), "the 33rd on one connection");
+            stubs.get(0).ask(99, "note", A, "");
+            assertEquals(stubs.get(0).read(), new Stub.Frame(4, 99, 66, "\0"), "the 33rd on one connection");
             stubs.get(2).ask(1, "note", A, body);
             assertEquals(stubs.get(2).read(), new Stub.Frame(4, 1, 66, "\0"), "an eighth of the memory is kept");
             world.interpreter.value("0000000000000001", "good", "");
