Room is given back before the answer goes out

Relay.over answered first and booked the end of the run after, and Book.answer sent before it forgot.

--- a/src/main/java/vetchrill/routing/Book.java
+++ b/src/main/java/vetchrill/routing/Book.java
@@ -79,11 +79,11 @@
             return;
         }
         ex.done = true;
-        ex.stub.connection.send(frame);
         ex.stub.open.remove(ex.stream);
         ex.stub.lastUsed = now;
-        closeIfDone(ex.stub);
         forgetIfOver(ex);
+        ex.stub.connection.send(frame);
+        closeIfDone(ex.stub);
     }
 
     /** Forgotten once it is answered and no word of a run can come any more. */
--- a/src/main/java/vetchrill/routing/Relay.java
+++ b/src/main/java/vetchrill/routing/Relay.java
@@ -49,6 +49,8 @@
             LOG.log(System.Logger.Level.DEBUG, "over {0} {1} {2} after {3} ms, {4} ms on its run", end, ex.groupName,
                     id, (now - ex.arrived) / 10, took / 10);
         }
+        // First its room is given back, then the answer goes out: the stub may send the next at once.
+        chain.admit.finished(ex, outcome, took);
         if (!ex.done && outcome != Outcome.STOPPED) {
             if (outcome == Outcome.COMPLETED) {
                 Frames.onStream(answer, ex.stream);
@@ -59,7 +61,6 @@
                 chain.book.answer(ex, Frames.terminated(ex.stream), now);
             }
         }
-        chain.admit.finished(ex, outcome, took);
     }
 
     @Override
@@ -74,9 +75,9 @@
             String[] words = text.split(" ");
             Open ex = words.length > 2 ? chain.book.find(words[2]) : null;
             if (ex != null && ex.begun && !ex.over()) {
+                chain.admit.finished(ex, Outcome.NOTHING_STARTED, 0);
                 chain.book.terminated++;
                 chain.book.answer(ex, Frames.terminated(ex.stream), chain.clock.now());
-                chain.admit.finished(ex, Outcome.NOTHING_STARTED, 0);
             }
         });
     }
