Say once what was said twice: asking for a run, turning away, closing a forgotten stub, one JSON mapper

Send wrote APPLY in three places, Admit turned an exchange away in three, Book set the same timer in two, the start built a second ObjectMapper and read the customers twice.

--- a/src/main/java/vetchrill/program/Serve.java
+++ b/src/main/java/vetchrill/program/Serve.java
@@ -45,7 +45,7 @@
             Runtime.getRuntime().halt(70);
         });
         CountDownLatch over = new CountDownLatch(1);
-        onTerm(() -> drain(start, clock, chain, listener, thread, over));
+        onTerm(() -> drain(start, clock, chain, listener, over));
         Thread decisions = new Thread(null, () -> {
             try {
                 thread.run(chain::decide);
@@ -78,8 +78,7 @@
         });
     }
 
-    private static void drain(Start start, Clock clock, Chain chain, Listener listener, DecisionThread thread,
-            CountDownLatch over) {
+    private static void drain(Start start, Clock clock, Chain chain, Listener listener, CountDownLatch over) {
         Limits limits = start.limits;
         long stopAt = clock.now() + start.stop;
         chain.leave(stopAt);
--- a/src/main/java/vetchrill/program/Start.java
+++ b/src/main/java/vetchrill/program/Start.java
@@ -1,7 +1,6 @@
 package vetchrill.program;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -33,7 +32,7 @@
         }
         JsonNode told;
         try {
-            told = new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
+            told = DeploymentReader.JSON.readTree(Files.readAllBytes(Path.of(file)));
         } catch (IOException e) {
             throw new IllegalArgumentException("GW_CONFIG can't be read: " + e.getMessage().split("\n")[0]);
         }
--- a/src/main/java/vetchrill/protocol/DeploymentReader.java
+++ b/src/main/java/vetchrill/protocol/DeploymentReader.java
@@ -10,7 +10,7 @@
 
 /** Decodes what a fresh instance is told, on the wire and on sockets alike. */
 public final class DeploymentReader {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    public static final ObjectMapper JSON = new ObjectMapper();
 
     public final Deployment deployment = new Deployment();
     /** Where each gauge stands in a row of gauges; -1 where it is not sent. */
@@ -32,9 +32,6 @@
         for (JsonNode told : root.path("categories")) {
             groupNames.add(told.path("name").asText());
         }
-        for (JsonNode told : root.path("customers")) {
-            customerNames.add(told.path("name").asText());
-        }
         JsonNode info = root.path("familyInfo");
         JsonNode rules = root.path("guarantees");
         Deployment d = deployment;
@@ -42,6 +39,7 @@
         JsonNode customers = root.path("customers");
         d.allowance = new double[customers.size()];
         for (int i = 0; i < d.allowance.length; i++) {
+            customerNames.add(customers.get(i).path("name").asText());
             d.allowance[i] = customers.get(i).path("allowancePerS").asDouble();
         }
         d.benefitBeyondShare = root.path("overShareWorth").asDouble(1);
--- a/src/main/java/vetchrill/protocol/Fields.java
+++ b/src/main/java/vetchrill/protocol/Fields.java
@@ -78,10 +78,6 @@
         return -1;
     }
 
-    public boolean has(String name) {
-        return find(name) >= 0;
-    }
-
     /** A whole number of up to 18 digits; -1 where it is absent or no such number. */
     public long whole(String name) {
         int i = find(name);
--- a/src/main/java/vetchrill/routing/Admit.java
+++ b/src/main/java/vetchrill/routing/Admit.java
@@ -23,8 +23,7 @@
     /** The oldest that an exchange was when it came to the decision thread, since the last summary. */
     long oldest;
 
-    Admit(DeploymentReader facts, long seed, Clock clock, Book book,
-            Limits limits) {
+    Admit(DeploymentReader facts, long seed, Clock clock, Book book, Limits limits) {
         this.facts = facts;
         this.seed = seed;
         this.clock = clock;
@@ -50,19 +49,16 @@
         if (ex.stub.open.containsKey(ex.stream)) {
             // An answer on its stream would be taken for that of the exchange which has it.
             LOG.log(System.Logger.Level.WARNING, "bad input: stream {0} used while it is open", ex.stream);
-            ex.stub.connection.send(Frames.terminated(0));
-            book.drop(ex);
+            turnAway(ex, Frames.terminated(0));
             return;
         }
         if (book.has(ex.id)) {
             LOG.log(System.Logger.Level.WARNING, "bad input: rid {0} used while it is open", ex.id);
-            ex.stub.connection.send(Frames.terminated(ex.stream));
-            book.drop(ex);
+            turnAway(ex, Frames.terminated(ex.stream));
             return;
         }
         if (controller == null || ex.stub.open.size() >= limits.openPerConnection) {
-            ex.stub.connection.send(Frames.denied(ex.stream, 0, false));
-            book.drop(ex);
+            turnAway(ex, Frames.denied(ex.stream, 0, false));
             return;
         }
         oldest = Math.max(oldest, now - ex.arrived);
@@ -70,6 +66,11 @@
         controller.arrived(ex, now);
     }
 
+    private void turnAway(Open ex, byte[] frame) {
+        ex.stub.connection.send(frame);
+        book.drop(ex);
+    }
+
     /** A connection that was reset takes its answers with it: its callers have left, whoever they were. */
     void left(Stub stub) {
         LOG.log(System.Logger.Level.DEBUG, "a connection was reset with {0} exchanges open", stub.open.size());
--- a/src/main/java/vetchrill/routing/Book.java
+++ b/src/main/java/vetchrill/routing/Book.java
@@ -88,10 +88,8 @@
 
     /** Forgotten once it is answered and no word of a run can come any more. */
     void forgetIfOver(Open ex) {
-        if (ex.done && ex.over()) {
-            if (byId.remove(ex.id) != null) {
-                drop(ex);
-            }
+        if (ex.done && ex.over() && byId.remove(ex.id) != null) {
+            drop(ex);
         }
     }
 
@@ -124,19 +122,19 @@
             takeNothingNew(stub);
             idleClosed++;
             // Told first, closed by the stub: what crosses the word on its way is answered and not lost.
-            thread.at(now + limits.closeWait, () -> closeForgotten(stub, now + limits.closeWait));
+            closeAt(now + limits.closeWait, stub);
         }
     }
 
-    private void closeForgotten(Stub stub, long now) {
-        if (!stubs.contains(stub)) {
-            return;
-        }
-        if (stub.open.isEmpty()) {
-            stub.connection.closeWhenSent();
-        } else {
-            thread.at(now + limits.closeWait, () -> closeForgotten(stub, now + limits.closeWait));
-        }
+    /** For a stub that does not follow; one with something open has as long again. */
+    private void closeAt(long time, Stub stub) {
+        thread.at(time, () -> {
+            if (stubs.contains(stub) && stub.open.isEmpty()) {
+                stub.connection.closeWhenSent();
+            } else if (stubs.contains(stub)) {
+                closeAt(time + limits.closeWait, stub);
+            }
+        });
     }
 
     /** From now on nothing new is taken on any connection. */
--- a/src/main/java/vetchrill/routing/Send.java
+++ b/src/main/java/vetchrill/routing/Send.java
@@ -56,11 +56,15 @@
     void apply(Open ex) {
         ex.begun = true;
         if (settled) {
-            ex.appliedOn = linkNumber;
-            link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
+            askFor(ex);
         }
     }
 
+    private void askFor(Open ex) {
+        ex.appliedOn = linkNumber;
+        link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
+    }
+
     /**
      * An exchange that is answered can't be started any more: to ask again only tells whether it runs. Not at once,
      * for a run that ended just now is no longer running, and the answer may be read later than the question.
@@ -72,9 +76,8 @@
     }
 
     private void askAfter(Open ex) {
-        if (settled && ex.begun && !ex.over() && ex.appliedOn != linkNumber) {
-            ex.appliedOn = linkNumber;
-            link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
+        if (settled && !ex.over() && ex.appliedOn != linkNumber) {
+            askFor(ex);
         }
     }
 
@@ -120,8 +123,7 @@
             } else if (ex.done) {
                 answered(ex);
             } else if (ex.appliedOn == 0 || ex.group.effect == Effect.REPEATABLE) {
-                ex.appliedOn = linkNumber;
-                link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
+                askFor(ex);
             }
         }
     }
--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -9,7 +9,6 @@
 
     /** What the program is given. */
     public final long memoryBytes;
-    public final int descriptors;
 
     /** Stubs take half of the descriptors, checks a few more; the rest is for the runtime's own and a margin. */
     public final int connections;
@@ -55,7 +54,6 @@
 
     public Limits(long memoryBytes, int descriptors) {
         this.memoryBytes = memoryBytes;
-        this.descriptors = descriptors;
         connections = descriptors / 2 + CHECKS;
         unsentInAll = memoryBytes / 12;
         bodiesInAll = memoryBytes / 8;
