One way to start a daemon thread and to close a socket that is given up

Five places set up a daemon thread by hand and four closed a socket with an empty catch of their own.

--- a/src/main/java/vetchrill/program/Serve.java
+++ b/src/main/java/vetchrill/program/Serve.java
@@ -9,6 +9,7 @@
 import vetchrill.routing.DecisionThread;
 import vetchrill.transport.Limits;
 import vetchrill.transport.Listener;
+import vetchrill.transport.Resources;
 
 /** One instance from its start to the end of its drain. */
 public final class Serve {
@@ -46,15 +47,13 @@
         });
         CountDownLatch over = new CountDownLatch(1);
         onTerm(() -> drain(start, clock, chain, listener, over));
-        Thread decisions = new Thread(null, () -> {
+        Resources.daemon("decisions", () -> {
             try {
                 thread.run(chain::decide);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-        }, "decisions", limits.threadStack * 4L);
-        decisions.setDaemon(true);
-        decisions.start();
+        }, limits.threadStack * 4L).start();
         listener.start();
         chain.start(start.interpreter);
         LOG.log(System.Logger.Level.INFO, "{0} listens on {1}; {2} connections at most, {3} MB", start.name,
--- a/src/main/java/vetchrill/protocol/MembershipCall.java
+++ b/src/main/java/vetchrill/protocol/MembershipCall.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import vetchrill.transport.Limits;
+import vetchrill.transport.Resources;
 
 /** One report to the membership service, on a connection that is kept between reports while it lasts. */
 public final class MembershipCall {
@@ -45,11 +46,7 @@
 
     private void close() {
         if (socket != null) {
-            try {
-                socket.close();
-            } catch (IOException e) {
-                // It is given up either way.
-            }
+            Resources.close(socket);
             socket = null;
         }
     }
--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -12,6 +12,7 @@
 import vetchrill.transport.Connection;
 import vetchrill.transport.InterpreterLink;
 import vetchrill.transport.Limits;
+import vetchrill.transport.Resources;
 
 /** Puts the units of the chain together, and tells them of links, notices and the end. */
 public final class Chain {
@@ -61,7 +62,7 @@
     public void accepted(Socket socket) {
         if (connections.get() >= limits.connections) {
             LOG.log(System.Logger.Level.WARNING, "a connection past {0}: closed", limits.connections);
-            quietly(socket);
+            Resources.close(socket);
             return;
         }
         String name = "c" + connections.incrementAndGet();
@@ -89,15 +90,7 @@
             }
         } catch (IOException e) {
             connections.decrementAndGet();
-            quietly(socket);
-        }
-    }
-
-    private static void quietly(Socket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // It was to be closed.
+            Resources.close(socket);
         }
     }
 
--- a/src/main/java/vetchrill/routing/Report.java
+++ b/src/main/java/vetchrill/routing/Report.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import vetchrill.protocol.MembershipCall;
 import vetchrill.transport.Limits;
+import vetchrill.transport.Resources;
 
 /** Health as health checks and the membership service hear it, from a thread of its own. */
 final class Report {
@@ -31,9 +32,7 @@
     }
 
     void start() {
-        Thread thread = new Thread(null, this::keep, "reports", limits.threadStack);
-        thread.setDaemon(true);
-        thread.start();
+        Resources.daemon("reports", this::keep, limits.threadStack).start();
     }
 
     private void keep() {
--- a/src/main/java/vetchrill/transport/Connection.java
+++ b/src/main/java/vetchrill/transport/Connection.java
@@ -53,10 +53,8 @@
     }
 
     private boolean started(Runnable work, String what) {
-        Thread thread = new Thread(null, work, name + what, limits.threadStack);
-        thread.setDaemon(true);
         try {
-            thread.start();
+            Resources.daemon(name + what, work, limits.threadStack).start();
             return true;
         } catch (OutOfMemoryError noThread) {
             LOG.log(System.Logger.Level.ERROR, "no thread for a connection: it is closed");
@@ -96,11 +94,7 @@
     /** Closes at once; both threads end. */
     public void abort() {
         gone = true;
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // Closing is all that was wanted.
-        }
+        Resources.close(socket);
         if (writing.get()) {
             toSend.add(END);
         }
--- a/src/main/java/vetchrill/transport/InterpreterLink.java
+++ b/src/main/java/vetchrill/transport/InterpreterLink.java
@@ -23,9 +23,7 @@
     }
 
     public void start() {
-        Thread thread = new Thread(null, this::keep, "link", limits.threadStack);
-        thread.setDaemon(true);
-        thread.start();
+        Resources.daemon("link", this::keep, limits.threadStack).start();
     }
 
     private void keep() {
--- a/src/main/java/vetchrill/transport/Listener.java
+++ b/src/main/java/vetchrill/transport/Listener.java
@@ -19,8 +19,7 @@
         // A restart under the same name must not wait for what is left of the connections of its last life.
         socket.setReuseAddress(true);
         socket.bind(address, limits.backlog);
-        thread = new Thread(null, () -> accept(taken), "listener", limits.threadStack);
-        thread.setDaemon(true);
+        thread = Resources.daemon("listener", () -> accept(taken), limits.threadStack);
     }
 
     public void start() {
