SIGHUP reads the configuration again and moves both addresses while all goes on

No handler for HUP stood in Serve, so the runtime's own took it and ended the process.

Now the file is read again on a thread that takes signals in their order; a file of no use changes nothing and costs a log line. The link is made before it is broken: the new one is opened while the old one still carries commands, and the old is closed when the decision thread takes the new. Notices that both carry, and those told twice under one number, are known by their number (Chain.noticed only took the highest, so a repeated "cut" could end a second run). Reports go to the new address at once.

--- a/src/main/java/vetchrill/program/Serve.java
+++ b/src/main/java/vetchrill/program/Serve.java
@@ -1,8 +1,11 @@
 package vetchrill.program;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicReference;
 import vetchrill.protocol.MembershipCall;
 import vetchrill.routing.Chain;
 import vetchrill.routing.Clock;
@@ -46,7 +49,13 @@
             Runtime.getRuntime().halt(70);
         });
         CountDownLatch over = new CountDownLatch(1);
-        onTerm(() -> drain(start, clock, chain, listener, over));
+        AtomicReference<Start> now = new AtomicReference<>(start);
+        LinkedBlockingQueue<String> signals = new LinkedBlockingQueue<>();
+        for (String name : List.of("HUP", "TERM")) {
+            sun.misc.Signal.handle(new sun.misc.Signal(name), signal -> signals.add(name));
+        }
+        Resources.daemon("signals", () -> follow(signals, () -> reload(environment, now, chain),
+                () -> drain(now.get(), clock, chain, listener, over)), limits.threadStack).start();
         Resources.daemon("decisions", () -> {
             try {
                 thread.run(chain::decide);
@@ -66,15 +75,37 @@
         return 0;
     }
 
-    /** A signal handler and not a hook at exit, since hooks run beside each other and end with 143. */
-    private static void onTerm(Runnable drain) {
-        boolean[] told = new boolean[1];
-        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), signal -> {
-            if (!told[0]) {
-                told[0] = true;
-                new Thread(drain, "drain").start();
+    /**
+     * Handlers of signals and not a hook at exit, since hooks run beside each other and end with 143. One thread
+     * takes them in their order, so that of two files in a row the later one counts; the drain has its own.
+     */
+    private static void follow(LinkedBlockingQueue<String> signals, Runnable reload, Runnable drain) {
+        boolean leaving = false;
+        try {
+            while (true) {
+                if (signals.take().equals("HUP")) {
+                    reload.run();
+                } else if (!leaving) {
+                    leaving = true;
+                    new Thread(drain, "drain").start();
+                }
             }
-        });
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** What the instance is and what it was told of its deployment stay; a file of no use changes nothing. */
+    private static void reload(Map<String, String> environment, AtomicReference<Start> now, Chain chain) {
+        try {
+            Start told = new Start(environment);
+            chain.move(told.interpreter, told.members);
+            now.set(told);
+            LOG.log(System.Logger.Level.INFO, "configuration read again: interpreter {0}, members {1}",
+                    told.interpreter, told.members);
+        } catch (IllegalArgumentException e) {
+            LOG.log(System.Logger.Level.ERROR, "configuration not taken: {0}", e.getMessage());
+        }
     }
 
     private static void drain(Start start, Clock clock, Chain chain, Listener listener, CountDownLatch over) {
--- a/src/main/java/vetchrill/protocol/MembershipCall.java
+++ b/src/main/java/vetchrill/protocol/MembershipCall.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import vetchrill.transport.Limits;
 import vetchrill.transport.Resources;
@@ -13,10 +14,11 @@
 public final class MembershipCall {
     private static final int LONGEST_HEAD = 8 << 10;
 
-    private final InetSocketAddress address;
+    private volatile InetSocketAddress address;
     private final String name;
     private final Limits limits;
     private Socket socket;
+    private InetSocketAddress socketTo;
 
     public MembershipCall(InetSocketAddress address, String name, Limits limits) {
         this.address = address;
@@ -24,11 +26,23 @@
         this.limits = limits;
     }
 
+    /** From any thread; the next report goes there. */
+    public void move(InetSocketAddress to) {
+        address = to;
+    }
+
     /** Reports, and returns the status of the answer. */
     public int report(boolean up) throws IOException {
+        InetSocketAddress to = address;
+        if (to != socketTo) {
+            close();
+        }
         boolean kept = socket != null;
         try {
-            return once(up);
+            return once(up, to);
+        } catch (SocketTimeoutException e) {
+            close();
+            throw e;
         } catch (IOException e) {
             close();
             if (!kept) {
@@ -37,7 +51,7 @@
         }
         // The kept connection may have been closed meanwhile; a report may arrive twice without harm.
         try {
-            return once(up);
+            return once(up, to);
         } catch (IOException e) {
             close();
             throw e;
@@ -51,10 +65,11 @@
         }
     }
 
-    private int once(boolean up) throws IOException {
+    private int once(boolean up, InetSocketAddress address) throws IOException {
         if (socket == null) {
             Socket fresh = new Socket();
             socket = fresh;
+            socketTo = address;
             fresh.setTcpNoDelay(true);
             fresh.setSoTimeout((int) (limits.reportWait / 10));
             fresh.connect(address, (int) (limits.reportWait / 10));
--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -27,6 +27,7 @@
     private final Limits limits;
     private final Report report;
     private final Route route;
+    private InterpreterLink link;
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicLong unsent = new AtomicLong();
     private final AtomicLong heldBytes = new AtomicLong();
@@ -47,13 +48,20 @@
 
     public void start(InetSocketAddress interpreter) {
         report.start();
-        new InterpreterLink(interpreter, limits, connection -> {
+        link = new InterpreterLink(interpreter, limits, connection -> {
             thread.post(() -> send.linkOpened(connection, lastNotice));
             return new InterpreterLines(limits, new Relay(this, connection));
-        }).start();
+        });
+        link.start();
         thread.post(() -> thread.at(clock.now() + limits.summaryEvery, this::summary));
     }
 
+    /** Another configuration: both services are spoken to at other addresses, all that is open goes on. */
+    public void move(InetSocketAddress interpreter, InetSocketAddress members) {
+        link.move(interpreter);
+        report.move(members);
+    }
+
     public void decide() {
         admit.decide();
     }
@@ -94,14 +102,22 @@
         }
     }
 
-    void noticed(long number) {
+    /** False for a notice that was read before, over this link or the one that it replaced. */
+    boolean noticed(long number) {
+        if (number <= lastNotice) {
+            return false;
+        }
         if (number > lastNotice + 1) {
             LOG.log(System.Logger.Level.ERROR, "notices {0} to {1} never came", lastNotice + 1, number - 1);
         }
-        lastNotice = Math.max(lastNotice, number);
+        lastNotice = number;
+        return true;
     }
 
-    void banner(String state, long sinceStart) {
+    void banner(Connection link, String state, long sinceStart) {
+        if (!send.over(link)) {
+            return;
+        }
         boolean first = !admit.begun();
         LOG.log(System.Logger.Level.INFO, "the interpreter is up: {0}, started {1} ms ago; {2} exchanges open", state,
                 sinceStart / 10, book.size());
@@ -114,8 +130,10 @@
     }
 
     void linkLost(Connection link, String why) {
-        LOG.log(System.Logger.Level.WARNING, "link to the interpreter lost: {0}", why);
-        send.linkLost(link);
+        if (send.over(link)) {
+            LOG.log(System.Logger.Level.WARNING, "link to the interpreter lost: {0}", why);
+            send.linkLost();
+        }
     }
 
     /** The notice to leave, on any thread. */
--- a/src/main/java/vetchrill/routing/Relay.java
+++ b/src/main/java/vetchrill/routing/Relay.java
@@ -20,7 +20,7 @@
 
     @Override
     public void banner(String state, long sinceStart) {
-        chain.thread.post(() -> chain.banner(state, sinceStart));
+        chain.thread.post(() -> chain.banner(link, state, sinceStart));
     }
 
     @Override
@@ -31,7 +31,9 @@
     }
 
     private void over(long number, String id, String end, long took, byte[] answer) {
-        chain.noticed(number);
+        if (!chain.noticed(number)) {
+            return;
+        }
         Open ex = chain.book.find(id);
         if (ex == null || !ex.begun || ex.over()) {
             LOG.log(System.Logger.Level.DEBUG, "a run that is over already: {0} {1}", id, end);
--- a/src/main/java/vetchrill/routing/Report.java
+++ b/src/main/java/vetchrill/routing/Report.java
@@ -1,6 +1,7 @@
 package vetchrill.routing;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import vetchrill.protocol.MembershipCall;
@@ -15,6 +16,7 @@
     private final Limits limits;
     private final LinkedBlockingQueue<Boolean> changes = new LinkedBlockingQueue<>();
     private volatile boolean good;
+    private volatile boolean known;
 
     Report(MembershipCall call, Limits limits) {
         this.call = call;
@@ -28,9 +30,18 @@
     /** On the decision thread; never waits. */
     void health(boolean now) {
         good = now;
+        known = true;
         changes.add(now);
     }
 
+    /** To another address from now on, and there at once: nothing lists this instance by what the old one heard. */
+    void move(InetSocketAddress address) {
+        call.move(address);
+        if (known) {
+            changes.add(good);
+        }
+    }
+
     void start() {
         Resources.daemon("reports", this::keep, limits.threadStack).start();
     }
--- a/src/main/java/vetchrill/routing/Send.java
+++ b/src/main/java/vetchrill/routing/Send.java
@@ -31,17 +31,24 @@
     }
 
     void linkOpened(Connection connection, long lastRead) {
+        if (link != null) {
+            // Replaced by a new one, which carries all that is told from now on.
+            link.abort();
+        }
         link = connection;
         linkNumber++;
         settled = false;
         connection.send(InterpreterLines.connect(lastRead));
     }
 
-    void linkLost(Connection connection) {
-        if (link == connection) {
-            link = null;
-            settled = false;
-        }
+    /** Whether this is the link of now, and not one that it has replaced. */
+    boolean over(Connection connection) {
+        return link == connection;
+    }
+
+    void linkLost() {
+        link = null;
+        settled = false;
     }
 
     /** All kept notices follow the banner; gauges asked for behind it come after the last of them. */
--- a/src/main/java/vetchrill/transport/InterpreterLink.java
+++ b/src/main/java/vetchrill/transport/InterpreterLink.java
@@ -11,9 +11,11 @@
 public final class InterpreterLink {
     private static final System.Logger LOG = System.getLogger("vetchrill.link");
 
-    private final InetSocketAddress address;
     private final Limits limits;
     private final Function<Connection, Connection.Input> opened;
+    private volatile InetSocketAddress address;
+    /** Counted down when the connection of now is lost or no longer the one to keep. */
+    private volatile CountDownLatch over = new CountDownLatch(0);
 
     /** {@code opened} is called with each new connection before anything is read from it. */
     public InterpreterLink(InetSocketAddress address, Limits limits, Function<Connection, Connection.Input> opened) {
@@ -26,6 +28,15 @@
         Resources.daemon("link", this::keep, limits.threadStack).start();
     }
 
+    /**
+     * From now on the link is kept to another address. What there is to the old one is used until the new one is
+     * open, and whoever took it closes it then: so no moment passes without a link.
+     */
+    public void move(InetSocketAddress to) {
+        address = to;
+        over.countDown();
+    }
+
     private void keep() {
         long pause = 0;
         int number = 0;
@@ -38,8 +49,11 @@
                 // A connection that was up for no time at all counts as a failed try.
                 pause = Math.min(limits.longestPause, Math.max(limits.firstPause, 2 * pause));
                 Socket socket = new Socket();
+                InetSocketAddress to = address;
+                CountDownLatch lost = new CountDownLatch(1);
+                over = lost;
                 try {
-                    socket.connect(address, (int) (limits.connectWait / 10));
+                    socket.connect(to, (int) (limits.connectWait / 10));
                 } catch (IOException e) {
                     socket.close();
                     throw e;
@@ -47,7 +61,6 @@
                 String name = "link" + ++number;
                 Connection connection = new Connection(socket, name, limits, new AtomicLong());
                 long since = System.nanoTime();
-                CountDownLatch over = new CountDownLatch(1);
                 Connection.Input input = opened.apply(connection);
                 boolean started = connection.start(new Connection.Input() {
                     @Override
@@ -59,15 +72,17 @@
                     public void ended(String why, boolean gone) {
                         connection.abort();
                         input.ended(why, gone);
-                        over.countDown();
+                        lost.countDown();
                     }
                 }, limits.line);
                 if (!started) {
                     continue;
                 }
                 told = false;
-                over.await();
-                if ((System.nanoTime() - since) / 100_000 > limits.longestPause) {
+                if (to == address) {
+                    lost.await();
+                }
+                if (to != address || (System.nanoTime() - since) / 100_000 > limits.longestPause) {
                     pause = 0;
                 }
             } catch (IOException e) {
--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -36,10 +36,11 @@
     public final long gaugeWait = 500;
     public final long connectWait = 10_000;
     public final long firstPause = 200;
-    public final long longestPause = 10_000;
-    /** Together under the three seconds after which an entry lapses, so that one report may be lost. */
+    public final long longestPause = 2_000;
+    /** Several within the three seconds after which an entry lapses, so that some may be lost or unanswered. */
     public final long reportEvery = 8_000;
-    public final long reportWait = 15_000;
+    /** A change of health waits behind a report in hand, so no answer is waited for longer than this. */
+    public final long reportWait = 3_000;
     public final long reportAgain = 2_000;
     /** After this an answer has surely been read, and what the interpreter told before it as well. */
     public final long doubtWait = 5_000;
--- a/src/test/java/vetchrill/StandIns.java
+++ b/src/test/java/vetchrill/StandIns.java
@@ -62,8 +62,7 @@
         }
     }
 
-    /** Starts the program as a process of its own and does not wait for it. */
-    public StandIns start() throws IOException {
+    private String configuration(Interpreter interpreter, Members members) {
         String text = "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"vm\":\"127.0.0.1:" + interpreter.port()
                 + "\",\"members\":\"127.0.0.1:" + members.port() + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"stop_ms\":5000,\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":64},\"settings\":"
@@ -71,8 +70,23 @@
         for (Map.Entry<String, String> change : instead.entrySet()) {
             text = text.replace(change.getKey(), change.getValue());
         }
-        file = Files.createTempFile("vetchrill", ".json");
+        return text;
+    }
+
+    /** Replaces the configuration by one with these addresses, and says so to the process. */
+    public void replace(Interpreter interpreter, Members members) throws IOException {
+        replace(configuration(interpreter, members));
+    }
+
+    public void replace(String text) throws IOException {
         Files.writeString(file, text);
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start();
+    }
+
+    /** Starts the program as a process of its own and does not wait for it. */
+    public StandIns start() throws IOException {
+        file = Files.createTempFile("vetchrill", ".json");
+        Files.writeString(file, configuration(interpreter, members));
         String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", path, "vetchrill.Main", "serve");
@@ -191,6 +205,14 @@
             });
         }
 
+        /** The same interpreter at another address: its notices and their numbers carry on. */
+        public synchronized Interpreter moved() throws IOException {
+            Interpreter to = new Interpreter();
+            to.kept.addAll(kept);
+            to.numbered = numbered;
+            return to;
+        }
+
         public int port() {
             return server.getLocalPort();
         }
@@ -221,13 +243,13 @@
         }
     }
 
-    /** Takes reports, and answers them with a status that the test may change. */
+    /** Takes reports, and answers them with a status that the test may change; 0 for no answer. */
     public static final class Members {
         final ServerSocket server;
         public final BlockingQueue<String> phases = new LinkedBlockingQueue<>();
         public volatile int status = 204;
 
-        Members() throws IOException {
+        public Members() throws IOException {
             server = new ServerSocket(0, 50, LOOPBACK);
             accepting(server, socket -> {
                 InputStream in = socket.getInputStream();
@@ -241,6 +263,9 @@
                     }
                     String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
                     phases.add(call.equals("PUT /members/n1 HTTP/1.1") ? body.replaceAll("\\W|phase", "") : call);
+                    if (status == 0) {
+                        continue;
+                    }
                     socket.getOutputStream().write(("HTTP/1.1 " + status + " Told\r\nContent-Length: 0\r\n\r\n")
                             .getBytes(StandardCharsets.UTF_8));
                 }
--- a/src/test/java/vetchrill/program/ServeTest.java
+++ b/src/test/java/vetchrill/program/ServeTest.java
@@ -61,6 +61,47 @@
         }
     }
 
+    public void aConfigurationReadAgainMovesTheServicesAndAllThatIsOpenGoesOn() throws Exception {
+        try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
+            soon(world.interpreter.commands, "a link");
+            stub.ask(1, "note", A, "");
+            soon(world.interpreter.commands, "a run");
+            stub.ask(2, "look", B, "");
+            soon(world.interpreter.commands, "another run");
+            world.interpreter.value(B, "good", "early");
+            assertEquals(stub.read(), new Stub.Frame(4, 2, 79, "\0early"));
+            world.replace("{ no configuration");
+            world.untilLogged("configuration not taken");
+            StandIns.Interpreter moved = world.interpreter.moved();
+            StandIns.Members members = new StandIns.Members();
+            world.replace(moved, members);
+            assertEquals(soon(moved.commands, "a link to the new address"), "CONNECT 1");
+            assertEquals(soon(members.phases, "a report to the new address"), "UP");
+            moved.value(A, "good", "late");
+            assertEquals(stub.read(), new Stub.Frame(4, 1, 79, "\0late"));
+            stub.ask(3, "look", "00000000000000cc", "");
+            assertEquals(soon(moved.commands, "a run"), "APPLY 00000000000000cc look 0\n");
+            assertTrue(world.interpreter.commands.isEmpty(), "spoken to at its old address");
+            // Health that changes later is told there too, and not a second time for a repeated notice.
+            moved.write("VALUE 3 00000000000000cc good 1 0\r\n\r\nVALUE 3 00000000000000cc good 1 0\r\n\r\n");
+            assertEquals(stub.read(), new Stub.Frame(4, 3, 79, "\0"));
+            world.terminate();
+            members.until("OUT");
+        }
+    }
+
+    public void reportsThatAreNeverAnsweredKeepNobodyWaiting() throws Exception {
+        try (StandIns world = new StandIns()) {
+            world.members.status = 0;
+            world.up();
+            Thread.sleep(100);
+            long since = System.nanoTime();
+            world.terminate();
+            world.members.until("OUT");
+            assertTrue(System.nanoTime() - since < 1_000_000_000L, "the change waited behind a report in hand");
+        }
+    }
+
     public void aStubThatDribblesOrDoesNotReadHoldsUpNobody() throws Exception {
         try (StandIns world = new StandIns().up(); Stub slow = world.stub(); Stub deaf = world.stub();
                 Stub quick = world.stub()) {
