Connections held for good are closed; the longest idle gives way in a full table

At fault: Book started with no idle time at all and the module only tells changes (Book.idleTime = Long.MAX_VALUE); Admit.look gave the module the interpreter's count of connections, which does not see those that are held and carry nothing; Chain.accepted closed whoever came once the table was full.

Now the callers' idle time holds from the start, the module hears our own count of connections that have carried something, and in a full table the longest idle gives way on the decision thread. A connection on which no whole frame has come in 2 s is closed; one that was told so and stays is closed after 1 s (was 5); what still arrives on a closed one is not run, as its stub sends it again. Eight frames that no stub sends end the reading of a connection, and lines on peers are at most 20 between two summaries: n2 had written 5,800. These also guard against half frames, port scans and a stub gone mad; harm: a stub that opens connections 2 s ahead of use pays for a new one.

--- a/src/main/java/vetchrill/protocol/FrameReader.java
+++ b/src/main/java/vetchrill/protocol/FrameReader.java
@@ -5,12 +5,15 @@
 
 /** Splits what a client stub sends into frames. */
 public final class FrameReader implements Connection.Input {
-    /** Who takes the frames; the payload is a slice of the buffer, good for the call only. */
+    /**
+     * Who takes the frames; the payload is a slice of the buffer, good for the call only. False where nothing more
+     * is to be read.
+     */
     public interface Taker {
-        void frame(int type, int stream, byte[] buf, int from, int to);
+        boolean frame(int type, int stream, byte[] buf, int from, int to);
 
         /** A frame whose length is allowed but of which no exchange has need; it is read past. */
-        void oversized(int type, int stream);
+        boolean oversized(int type, int stream);
 
         /** The frames can't be told apart any more. */
         void broken(String reason);
@@ -52,9 +55,8 @@
         int type = buf[from + 4] & 0xff;
         int stream = Frames.number(buf, from + 5);
         if (length > limits.frame - 4) {
-            taker.oversized(type, stream);
             toSkip = (int) length - 5;
-            return HEAD;
+            return taker.oversized(type, stream) ? HEAD : -1;
         }
         if (has < 4 + length) {
             return 0;
@@ -63,8 +65,8 @@
             taker.broken("a frame of type " + type);
             return -1;
         }
-        taker.frame(type, stream, buf, from + HEAD, from + 4 + (int) length);
-        return 4 + (int) length;
+        boolean goesOn = taker.frame(type, stream, buf, from + HEAD, from + 4 + (int) length);
+        return goesOn ? 4 + (int) length : -1;
     }
 
     @Override
--- a/src/main/java/vetchrill/routing/Admit.java
+++ b/src/main/java/vetchrill/routing/Admit.java
@@ -1,5 +1,6 @@
 package vetchrill.routing;
 
+import java.util.concurrent.atomic.AtomicInteger;
 import vetchrill.control.Exchange;
 import vetchrill.control.OverloadController;
 import vetchrill.protocol.DeploymentReader;
@@ -15,6 +16,7 @@
     private final Clock clock;
     private final Book book;
     private final Limits limits;
+    private final AtomicInteger lines;
     private Route route;
     private OverloadController controller;
     /** When the process stops; 0 while nothing is known of that. */
@@ -23,12 +25,14 @@
     /** The oldest that an exchange was when it came to the decision thread, since the last summary. */
     long oldest;
 
-    Admit(DeploymentReader facts, long seed, Clock clock, Book book, Limits limits) {
+    Admit(DeploymentReader facts, long seed, Clock clock, Book book, Limits limits,
+            AtomicInteger lines) {
         this.facts = facts;
         this.seed = seed;
         this.clock = clock;
         this.book = book;
         this.limits = limits;
+        this.lines = lines;
     }
 
     /** The interpreter is up: only now is there something to decide on, and known since when it warms up. */
@@ -46,18 +50,28 @@
 
     void arrived(Open ex) {
         long now = clock.now();
+        ex.stub.onTheWay.decrementAndGet();
+        if (ex.stub.closed) {
+            book.drop(ex);
+            return;
+        }
         if (ex.stub.open.containsKey(ex.stream)) {
             // An answer on its stream would be taken for that of the exchange which has it.
-            LOG.log(System.Logger.Level.WARNING, "bad input: stream {0} used while it is open", ex.stream);
+            strike(ex, "a stream used while it is open");
             turnAway(ex, Frames.terminated(0));
             return;
         }
         if (book.has(ex.id)) {
-            LOG.log(System.Logger.Level.WARNING, "bad input: rid {0} used while it is open", ex.id);
+            strike(ex, "a rid used while it is open");
             turnAway(ex, Frames.terminated(ex.stream));
             return;
         }
-        if (controller == null || ex.stub.open.size() >= limits.openPerConnection) {
+        if (ex.stub.open.size() >= limits.openPerConnection) {
+            strike(ex, "more open than a connection carries");
+            turnAway(ex, Frames.denied(ex.stream, 0, false));
+            return;
+        }
+        if (controller == null) {
             turnAway(ex, Frames.denied(ex.stream, 0, false));
             return;
         }
@@ -66,6 +80,14 @@
         controller.arrived(ex, now);
     }
 
+    /** For what no stub does; see {@link TakeIn} for where it ends. */
+    void strike(Open ex, String what) {
+        ex.stub.strikes.incrementAndGet();
+        if (lines.decrementAndGet() >= 0) {
+            LOG.log(System.Logger.Level.WARNING, "bad input: {0}", what);
+        }
+    }
+
     private void turnAway(Open ex, byte[] frame) {
         ex.stub.connection.send(frame);
         book.drop(ex);
@@ -89,9 +111,12 @@
         gauges = row;
     }
 
-    /** One look, with the last gauges known. */
+    /**
+     * One look, with the last gauges known. Connections are counted here: the interpreter does not see those that
+     * are held open and carry nothing, which fill the table all the same.
+     */
     void look() {
-        controller.gauges(gauge(facts.cpuAt), gauge(facts.runnableAt), gauge(facts.connectionsAt), clock.now());
+        controller.gauges(gauge(facts.cpuAt), gauge(facts.runnableAt), book.inUse(), clock.now());
     }
 
     private double gauge(int at) {
--- a/src/main/java/vetchrill/routing/Book.java
+++ b/src/main/java/vetchrill/routing/Book.java
@@ -18,14 +18,19 @@
     private final AtomicLong heldBytes;
     private final Map<String, Open> byId = new LinkedHashMap<>();
     private final Set<Stub> stubs = new LinkedHashSet<>();
-    private long idleTime = Long.MAX_VALUE;
+    /** That of the callers: some hold for good what they don't use any more. */
+    private final long callerIdleTime;
+    private long idleTime;
     private boolean drained;
     int completed;
     int denied;
     int terminated;
     int idleClosed;
+    int evicted;
 
-    Book(Limits limits, DecisionThread thread, AtomicLong heldBytes) {
+    Book(Limits limits, DecisionThread thread, AtomicLong heldBytes, long idleTime) {
+        callerIdleTime = idleTime;
+        this.idleTime = idleTime;
         this.limits = limits;
         this.thread = thread;
         this.heldBytes = heldBytes;
@@ -33,6 +38,7 @@
 
     void opened(Stub stub) {
         stubs.add(stub);
+        makeRoom();
         if (drained) {
             takeNothingNew(stub);
         }
@@ -105,20 +111,34 @@
         return stubs.size();
     }
 
+    /** Those that have carried something and may go on doing so: what the module is told as its connections. */
+    int inUse() {
+        int inUse = 0;
+        for (Stub stub : stubs) {
+            inUse += stub.carried && !stub.closing ? 1 : 0;
+        }
+        return inUse;
+    }
+
     void idleTime(long span) {
         idleTime = span;
     }
 
-    /** Closes what is idle for longer than the module allows, the longest idle first. */
+    /** Closes what is idle for longer than the module allows, the longest idle first; and what says nothing. */
     void closeIdle(long now) {
         List<Stub> idle = new ArrayList<>();
         for (Stub stub : stubs) {
-            if (stub.carried && !stub.closing && stub.open.isEmpty() && now - stub.lastUsed > idleTime) {
+            long allowed = stub.carried ? idleTime : stub.heard ? callerIdleTime : limits.silence;
+            if (stub.idle() && !stub.closing && now - stub.lastUsed > allowed) {
                 idle.add(stub);
             }
         }
         idle.sort(Comparator.comparingLong(stub -> stub.lastUsed));
         for (Stub stub : idle) {
+            if (!stub.heard) {
+                close(stub);
+                continue;
+            }
             takeNothingNew(stub);
             idleClosed++;
             // Told first, closed by the stub: what crosses the word on its way is answered and not lost.
@@ -129,14 +149,41 @@
     /** For a stub that does not follow; one with something open has as long again. */
     private void closeAt(long time, Stub stub) {
         thread.at(time, () -> {
-            if (stubs.contains(stub) && stub.open.isEmpty()) {
-                stub.connection.closeWhenSent();
+            if (stubs.contains(stub) && stub.idle()) {
+                close(stub);
             } else if (stubs.contains(stub)) {
                 closeAt(time + limits.closeWait, stub);
             }
         });
     }
 
+    /**
+     * With the table full the longest idle gives way, not whoever comes: a new connection brings an exchange, one
+     * that has long been idle may never bring another. One that is used again just now is not caught by it.
+     */
+    void makeRoom() {
+        long latest = thread.now() - limits.crossing;
+        while (stubs.size() > limits.connections) {
+            Stub longest = null;
+            for (Stub stub : stubs) {
+                if (stub.idle() && stub.lastUsed < latest && (longest == null || stub.lastUsed < longest.lastUsed)) {
+                    longest = stub;
+                }
+            }
+            if (longest == null) {
+                return;
+            }
+            evicted++;
+            close(longest);
+        }
+    }
+
+    private void close(Stub stub) {
+        stub.closed = true;
+        stubs.remove(stub);
+        stub.connection.closeWhenSent();
+    }
+
     /** From now on nothing new is taken on any connection. */
     void takeNothingNew() {
         drained = true;
--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -31,6 +31,8 @@
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicLong unsent = new AtomicLong();
     private final AtomicLong heldBytes = new AtomicLong();
+    /** Log lines on what peers do that are left until the next summary. */
+    private final AtomicInteger lines = new AtomicInteger();
     private long lastNotice;
 
     public Chain(DeploymentReader facts, long seed, Clock clock, DecisionThread thread, MembershipCall membership,
@@ -39,8 +41,9 @@
         this.limits = limits;
         this.clock = clock;
         this.thread = thread;
-        book = new Book(limits, thread, heldBytes);
-        admit = new Admit(facts, seed, clock, book, limits);
+        lines.set(limits.lines);
+        book = new Book(limits, thread, heldBytes, facts.deployment.callerIdleTime);
+        admit = new Admit(facts, seed, clock, book, limits, lines);
         send = new Send(limits, thread, clock, book, admit);
         report = new Report(membership, limits);
         route = new Route(clock, thread, book, send, report);
@@ -68,8 +71,15 @@
 
     /** On the listener's thread. */
     public void accepted(Socket socket) {
-        if (connections.get() >= limits.connections) {
-            LOG.log(System.Logger.Level.WARNING, "a connection past {0}: closed", limits.connections);
+        for (int i = 0; connections.get() >= limits.connectionsAtMost && i < limits.roomTries; i++) {
+            // The next ones wait unaccepted, which costs nothing here, until what is idle has given way.
+            thread.post(book::makeRoom);
+            Resources.pause(limits.roomWait);
+        }
+        if (connections.get() >= limits.connectionsAtMost) {
+            if (lines.decrementAndGet() >= 0) {
+                LOG.log(System.Logger.Level.WARNING, "a connection past {0}: closed", limits.connectionsAtMost);
+            }
             Resources.close(socket);
             return;
         }
@@ -78,7 +88,8 @@
             Connection connection = new Connection(socket, name, limits, unsent);
             Stub stub = new Stub(connection, clock.now());
             thread.post(() -> book.opened(stub));
-            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report, heldBytes);
+            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report, heldBytes,
+                    lines);
             FrameReader frames = new FrameReader(limits, takeIn);
             boolean started = connection.start(new Connection.Input() {
                 @Override
@@ -159,9 +170,10 @@
 
     private void summary() {
         LOG.log(System.Logger.Level.INFO, "completed {0} denied {1} terminated {2}; open {3} on {4} connections, "
-                + "{5} closed idle; oldest arrival {6} ms, longest round {7} ms, {8} inputs waiting, {9} looks "
+                + "{5} closed idle, {10} to make room, {11} lines left out; oldest arrival {6} ms, longest round {7} ms, {8} inputs waiting, {9} looks "
                 + "without gauges", book.completed, book.denied, book.terminated, book.size(), book.connections(),
-                book.idleClosed, admit.oldest / 10, thread.longestRound / 10, thread.mostWaiting, send.looksWithout);
+                book.idleClosed, admit.oldest / 10, thread.longestRound / 10, thread.mostWaiting, send.looksWithout,
+                book.evicted, Math.max(0, -lines.getAndSet(limits.lines)));
         admit.oldest = 0;
         thread.longestRound = 0;
         thread.mostWaiting = 0;
--- a/src/main/java/vetchrill/routing/DecisionThread.java
+++ b/src/main/java/vetchrill/routing/DecisionThread.java
@@ -36,6 +36,10 @@
         }
     }
 
+    long now() {
+        return clock.now();
+    }
+
     /** On the decision thread only. */
     void at(long time, Runnable act) {
         timers.add(new Timer(time, timersSet++, act));
--- a/src/main/java/vetchrill/routing/Relay.java
+++ b/src/main/java/vetchrill/routing/Relay.java
@@ -73,10 +73,12 @@
     @Override
     public void error(String text) {
         chain.thread.post(() -> {
-            LOG.log(System.Logger.Level.ERROR, "the interpreter did not carry out: {0}", text);
             String[] words = text.split(" ");
             Open ex = words.length > 2 ? chain.book.find(words[2]) : null;
-            if (ex != null && ex.begun && !ex.over()) {
+            if (ex == null) {
+                LOG.log(System.Logger.Level.WARNING, "the interpreter did not carry out: {0}", text);
+            } else if (ex.begun && !ex.over()) {
+                chain.admit.strike(ex, "the interpreter knows nothing of it: " + text);
                 chain.admit.finished(ex, Outcome.NOTHING_STARTED, 0);
                 chain.book.terminated++;
                 chain.book.answer(ex, Frames.terminated(ex.stream), chain.clock.now());
--- a/src/main/java/vetchrill/routing/TakeIn.java
+++ b/src/main/java/vetchrill/routing/TakeIn.java
@@ -1,6 +1,7 @@
 package vetchrill.routing;
 
 import java.util.Arrays;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.Fields;
@@ -23,11 +24,11 @@
     private final Book book;
     private final Report report;
     private final AtomicLong heldBytes;
+    private final AtomicInteger lines;
     private final Fields fields = new Fields();
-    private boolean toldBad;
 
     TakeIn(DeploymentReader facts, Limits limits, DecisionThread thread, Clock clock, Stub stub, Admit admit,
-            Book book, Report report, AtomicLong heldBytes) {
+            Book book, Report report, AtomicLong heldBytes, AtomicInteger lines) {
         this.facts = facts;
         this.limits = limits;
         this.thread = thread;
@@ -37,15 +38,18 @@
         this.book = book;
         this.report = report;
         this.heldBytes = heldBytes;
+        this.lines = lines;
     }
 
     @Override
-    public void frame(int type, int stream, byte[] buf, int from, int to) {
+    public boolean frame(int type, int stream, byte[] buf, int from, int to) {
         String wrong = fields.read(buf, from, to);
+        stub.lastUsed = clock.now();
+        stub.heard = true;
         if (type == Frames.CHECK) {
             // Answered from here, so that checks are heard while the decision thread is busy denying.
             stub.connection.send(Frames.checked(stream, wrong == null && report.isGood()));
-            return;
+            return true;
         }
         if (wrong == null) {
             wrong = exchange(stream, buf, to);
@@ -53,6 +57,15 @@
         if (wrong != null) {
             bad(stream, wrong);
         }
+        return goesOn();
+    }
+
+    /**
+     * A stub of another version may err now and then and keeps its connection; one that does nothing else would
+     * cost a share of the one core for as long as it likes. What it has open is answered before it is closed.
+     */
+    private boolean goesOn() {
+        return stub.strikes.get() < limits.strikes;
     }
 
     private String exchange(int stream, byte[] buf, int to) {
@@ -100,6 +113,7 @@
         ex.customer = customer;
         ex.kb = kb;
         ex.arrived = clock.stamped(stamp, limits.oldest);
+        stub.onTheWay.incrementAndGet();
         thread.post(() -> admit.arrived(ex));
         return null;
     }
@@ -114,10 +128,13 @@
     }
 
     @Override
-    public void oversized(int type, int stream) {
+    public boolean oversized(int type, int stream) {
+        stub.lastUsed = clock.now();
+        stub.heard = true;
         if (type == Frames.EXCHANGE) {
             bad(stream, "a frame far beyond what an exchange needs");
         }
+        return goesOn();
     }
 
     private void bad(int stream, String wrong) {
@@ -131,12 +148,11 @@
         stub.connection.send(Frames.terminated(0));
     }
 
-    /** Once for each connection: a stub that sends nothing but rubbish must not fill the log. */
+    /** Once for each connection, and so many between two summaries: rubbish must not fill the log. */
     private void tell(String wrong) {
-        if (!toldBad) {
+        if (stub.strikes.getAndIncrement() == 0 && lines.decrementAndGet() >= 0) {
             LOG.log(System.Logger.Level.WARNING, "bad input: {0}", wrong);
         }
-        toldBad = true;
     }
 
     @Override
--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -6,12 +6,16 @@
  */
 public final class Limits {
     private static final int CHECKS = 16;
+    /** What the runtime holds itself, the link, the reports and what is just being closed. */
+    private static final int OWN = 40;
 
     /** What the program is given. */
     public final long memoryBytes;
 
-    /** Stubs take half of the descriptors, checks a few more; the rest is for the runtime's own and a margin. */
+    /** Stubs take half of the descriptors, checks a few more; past it the longest idle gives way. */
     public final int connections;
+    /** What there is for a crowd of peers at once that say nothing, until they are closed for that. */
+    public final int connectionsAtMost;
     public final int backlog = 1024;
     public final int threadStack = 144 << 10;
     public final int inputs = 4096;
@@ -45,7 +49,17 @@
     /** After this an answer has surely been read, and what the interpreter told before it as well. */
     public final long doubtWait = 5_000;
     /** A peer told that nothing new is taken on a connection has so long to close it. */
-    public final long closeWait = 50_000;
+    public final long closeWait = 10_000;
+    /** A connection on which no whole frame has come in this time is closed: a stub opens one to send at once. */
+    public final long silence = 20_000;
+    /** What has crossed a close in this time is sent again elsewhere by its stub. */
+    public final long crossing = 500;
+    public final long roomWait = 50;
+    public final int roomTries = 40;
+    /** Frames that no stub sends, after which nothing more is read from a connection. */
+    public final int strikes = 8;
+    /** Log lines on what peers do, between two summaries. */
+    public final int lines = 20;
     /** The end of a drain: all connections told, no new connections, no new reading, then the end. */
     public final long lastConnections = 5_000;
     public final long shutListener = 1_400;
@@ -55,7 +69,8 @@
 
     public Limits(long memoryBytes, int descriptors) {
         this.memoryBytes = memoryBytes;
-        connections = descriptors / 2 + CHECKS;
+        connectionsAtMost = Math.max(2 * CHECKS, descriptors - OWN);
+        connections = Math.min(connectionsAtMost - CHECKS / 2, descriptors / 2 + CHECKS);
         unsentInAll = memoryBytes / 12;
         bodiesInAll = memoryBytes / 8;
     }
--- a/src/main/java/vetchrill/transport/Listener.java
+++ b/src/main/java/vetchrill/transport/Listener.java
@@ -50,16 +50,8 @@
                     LOG.log(System.Logger.Level.WARNING, "can''t accept: {0}", e.getMessage());
                 }
                 failing = true;
-                pause();
+                Resources.pause(500);
             }
         }
     }
-
-    private static void pause() {
-        try {
-            Thread.sleep(50);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/src/main/java/vetchrill/transport/Resources.java
+++ b/src/main/java/vetchrill/transport/Resources.java
@@ -15,6 +15,15 @@
         return thread;
     }
 
+    /** For a thread that has nothing else to do, in tenths of a millisecond. */
+    public static void pause(long span) {
+        try {
+            Thread.sleep(span / 10);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** For what is given up either way, whatever closing it meets. */
     public static void close(Closeable given) {
         try {
