Threads are kept for what comes next, and the decision thread starts none

All three instances stood at their half of a core. At fault: Connection.give started a writer from the decision thread (Thread.start waits until the new thread runs, on a crowded core for long), even to close a socket; Chain.accepted started a reader for each peer that says nothing.

Now readers and writers are kept in Workers, and the worker that takes the last free place starts the next one before its own work. What differs from a thread of its own: none is bound to a connection that has nothing to say.

--- a/src/main/java/vetchrill/control/Histogram.java
+++ b/src/main/java/vetchrill/control/Histogram.java
@@ -15,8 +15,11 @@
 
     private final float[] counts = new float[BINS];
     private float total;
+    /** The mean, or NaN until it is asked for again: a crowd asks for it many times between two additions. */
+    private double mean = Double.NaN;
 
     void add(long value) {
+        mean = Double.NaN;
         counts[bin(value)]++;
         if (++total >= FULL) {
             total = 0;
@@ -35,11 +38,14 @@
         if (total == 0) {
             return ifEmpty;
         }
-        double sum = 0;
-        for (int i = 0; i < BINS; i++) {
-            sum += counts[i] * MIDDLE[i];
+        if (Double.isNaN(mean)) {
+            double sum = 0;
+            for (int i = 0; i < BINS; i++) {
+                sum += counts[i] * MIDDLE[i];
+            }
+            mean = sum / total;
         }
-        return sum / total;
+        return mean;
     }
 
     double quantile(double part, double ifEmpty) {
--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -91,8 +91,11 @@
     private final List<Exchange> running = new ArrayList<>();
     private final List<Exchange> atCall = new ArrayList<>();
     private final List<Exchange> replaying = new ArrayList<>();
-    /** The hold in the order in which it will be run. */
-    private List<Exchange> line = new ArrayList<>();
+    /** The hold in its two orders, good until something happens: a crowd outlasts sorting for each denial. */
+    private final List<Exchange> oldest = new ArrayList<>();
+    private final List<Exchange> dearest = new ArrayList<>();
+    /** The one of them in which it will be run. */
+    private List<Exchange> line = oldest;
     private final ArrayDeque<Exchange> toRecognise = new ArrayDeque<>();
     private final ArrayDeque<Exchange> toForget = new ArrayDeque<>();
     private final ArrayDeque<Exchange> toInterrupt = new ArrayDeque<>();
@@ -274,6 +277,8 @@
     private void note(long now) {
         this.now = now;
         judge = true;
+        oldest.clear();
+        dearest.clear();
     }
 
     private void backFromCall(Exchange ex) {
@@ -298,28 +303,20 @@
         }
     }
 
+    private void unlist(Exchange ex) {
+        for (List<Exchange> list : List.of(held, oldest, dearest, running, atCall, replaying)) {
+            list.remove(ex);
+        }
+    }
+
     private void release(Exchange ex) {
-        switch (ex.stage) {
-            case HELD -> {
-                held.remove(ex);
-                line.remove(ex);
-                memory -= ex.paused ? ex.kb * told.runGrowth : ex.kb;
-            }
-            case REPLAYING -> {
-                replaying.remove(ex);
-                memory -= ex.kb;
-            }
-            case RUNNING -> {
-                running.remove(ex);
-                memory -= ex.kb * told.runGrowth;
-            }
-            case AT_CALL, CALLING -> {
-                if (ex.stage == Stage.CALLING) {
-                    callOver(true);
-                }
-                atCall.remove(ex);
-                memory -= ex.kb * told.runGrowth;
-            }
+        if (ex.stage != Stage.OVER) {
+            boolean grown = ex.paused || ex.stage != Stage.HELD && ex.stage != Stage.REPLAYING;
+            memory -= grown ? ex.kb * told.runGrowth : ex.kb;
+            unlist(ex);
+        }
+        if (ex.stage == Stage.CALLING) {
+            callOver(true);
         }
         ex.stage = Stage.OVER;
         if (ex.remembered && !ex.ran) {
@@ -424,8 +421,7 @@
                 continue;
             }
             if (ex.repeat && (ex.prior == null || ex.prior.ran || ex.prior.stage != Stage.OVER)) {
-                held.remove(ex);
-                line.remove(ex);
+                unlist(ex);
                 replaying.add(ex);
                 ex.stage = Stage.REPLAYING;
                 ex.ran = true;
@@ -609,11 +605,10 @@
         if (!judge) {
             return false;
         }
-        line = new ArrayList<>(held);
-        line.sort(OLDEST);
+        line = sorted(oldest, OLDEST);
         Exchange hopeless = firstHopeless();
         if (hopeless != null) {
-            line.sort(Comparator.comparingDouble((Exchange ex) -> -density(ex)).thenComparing(OLDEST));
+            line = sorted(dearest, Comparator.comparingDouble((Exchange e) -> -density(e)).thenComparing(OLDEST));
             hopeless = firstHopeless();
         }
         if (hopeless == null && memory > HOLD_MARK * told.memoryKb && !line.isEmpty()) {
@@ -636,6 +631,14 @@
         return true;
     }
 
+    private List<Exchange> sorted(List<Exchange> order, Comparator<Exchange> by) {
+        if (order.isEmpty()) {
+            order.addAll(held);
+            order.sort(by);
+        }
+        return order;
+    }
+
     /**
      * Marked further tries are few while only this server is short. Unmarked, what roams must not cost more
      * than it can bring: waits unread tell what reading costs, and traffic past the told that it brings less.
@@ -688,8 +691,7 @@
         if (memory + growth > WATERMARK * told.memoryKb) {
             return false;
         }
-        held.remove(ex);
-        line.remove(0);
+        unlist(ex);
         enter(ex);
         memory += growth;
         ex.stage = Stage.RUNNING;
--- a/src/main/java/vetchrill/routing/Book.java
+++ b/src/main/java/vetchrill/routing/Book.java
@@ -182,6 +182,8 @@
         stub.closed = true;
         stubs.remove(stub);
         stub.connection.closeWhenSent();
+        // What it is owed by then may wait for ever for a peer that does not read.
+        thread.at(thread.now() + limits.closeWait, stub.connection::abort);
     }
 
     /** From now on nothing new is taken on any connection. */
--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -13,6 +13,7 @@
 import vetchrill.transport.InterpreterLink;
 import vetchrill.transport.Limits;
 import vetchrill.transport.Resources;
+import vetchrill.transport.Workers;
 
 /** Puts the units of the chain together, and tells them of links, notices and the end. */
 public final class Chain {
@@ -27,6 +28,8 @@
     private final Limits limits;
     private final Report report;
     private final Route route;
+    private final Workers readers;
+    private final Workers writers;
     private InterpreterLink link;
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicLong unsent = new AtomicLong();
@@ -42,6 +45,8 @@
         this.clock = clock;
         this.thread = thread;
         lines.set(limits.lines);
+        readers = new Workers("reader", limits.spareReaders, limits);
+        writers = new Workers("writer", limits.spareWriters, limits);
         book = new Book(limits, thread, heldBytes, facts.deployment.callerIdleTime);
         admit = new Admit(facts, seed, clock, book, limits, lines);
         send = new Send(limits, thread, clock, book, admit);
@@ -51,7 +56,7 @@
 
     public void start(InetSocketAddress interpreter) {
         report.start();
-        link = new InterpreterLink(interpreter, limits, connection -> {
+        link = new InterpreterLink(interpreter, limits, readers, writers, connection -> {
             thread.post(() -> send.linkOpened(connection, lastNotice));
             return new InterpreterLines(limits, new Relay(this, connection));
         });
@@ -83,30 +88,14 @@
             Resources.close(socket);
             return;
         }
-        String name = "c" + connections.incrementAndGet();
+        connections.incrementAndGet();
         try {
-            Connection connection = new Connection(socket, name, limits, unsent);
+            Connection connection = new Connection(socket, limits, readers, writers, unsent,
+                    connections::decrementAndGet);
             Stub stub = new Stub(connection, clock.now());
             thread.post(() -> book.opened(stub));
-            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report, heldBytes,
-                    lines);
-            FrameReader frames = new FrameReader(limits, takeIn);
-            boolean started = connection.start(new Connection.Input() {
-                @Override
-                public int take(byte[] buf, int from, int to) {
-                    return frames.take(buf, from, to);
-                }
-
-                @Override
-                public void ended(String why, boolean gone) {
-                    connections.decrementAndGet();
-                    frames.ended(why, gone);
-                }
-            }, limits.frame);
-            if (!started) {
-                connections.decrementAndGet();
-                thread.post(() -> book.ended(stub));
-            }
+            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report, heldBytes, lines);
+            connection.start(new FrameReader(limits, takeIn), limits.frame);
         } catch (IOException e) {
             connections.decrementAndGet();
             Resources.close(socket);
--- a/src/main/java/vetchrill/transport/Connection.java
+++ b/src/main/java/vetchrill/transport/Connection.java
@@ -6,14 +6,13 @@
 import java.net.Socket;
 import java.util.Arrays;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A blocking socket with a reader and a writer thread of its own, so that a peer that does not read, or reads a
- * byte at a time, holds up only its own writer, and whoever sends never waits.
+ * A blocking socket with a reader for as long as it lives, and a writer while there is something to write: so a peer
+ * that does not read, or reads a byte at a time, holds up only its own writer, and whoever sends never waits.
  */
 public final class Connection {
     /** Who takes what is read. Called on the reader's thread. */
@@ -31,41 +30,35 @@
 
     private final Socket socket;
     private final Limits limits;
+    private final Workers readers;
+    private final Workers writers;
     private final AtomicLong unsentInAll;
     private final AtomicInteger unsent = new AtomicInteger();
     private final LinkedBlockingQueue<byte[]> toSend = new LinkedBlockingQueue<>();
-    private final String name;
     private final AtomicBoolean writing = new AtomicBoolean();
-    private volatile boolean gone;
+    private final AtomicBoolean gone = new AtomicBoolean();
+    private final Runnable closed;
 
-    /** {@code unsentInAll} counts for all connections together. */
-    public Connection(Socket socket, String name, Limits limits, AtomicLong unsentInAll) throws IOException {
+    /** {@code unsentInAll} counts for all connections together; {@code closed} is called once, on any thread. */
+    public Connection(Socket socket, Limits limits, Workers readers, Workers writers, AtomicLong unsentInAll,
+            Runnable closed) throws IOException {
         this.socket = socket;
         this.limits = limits;
+        this.readers = readers;
+        this.writers = writers;
         this.unsentInAll = unsentInAll;
+        this.closed = closed;
         socket.setTcpNoDelay(true);
-        this.name = name;
     }
 
-    /** Starts reading; false where the machine has no more threads to give. */
-    public boolean start(Input input, int longestMessage) {
-        return started(() -> read(input, longestMessage), "-reader");
-    }
-
-    private boolean started(Runnable work, String what) {
-        try {
-            Resources.daemon(name + what, work, limits.threadStack).start();
-            return true;
-        } catch (OutOfMemoryError noThread) {
-            LOG.log(System.Logger.Level.ERROR, "no thread for a connection: it is closed");
-            abort();
-            return false;
-        }
+    /** Starts reading. */
+    public void start(Input input, int longestMessage) {
+        readers.give(() -> read(input, longestMessage));
     }
 
     /** Never waits. What waits for a peer that does not read is bounded: past it the connection is given up. */
     public void send(byte[] message) {
-        if (gone) {
+        if (gone.get()) {
             return;
         }
         int mine = unsent.addAndGet(message.length);
@@ -74,29 +67,42 @@
         if (mine > limits.unsentPerConnection || all > limits.unsentInAll && mine > limits.frame) {
             abort();
         }
-        give(message);
+        if (gone.get()) {
+            sent(message.length);
+        } else {
+            give(message);
+        }
+    }
+
+    /** Counted once, whichever of the writer and an abort beside it comes first. */
+    private void sent(int bytes) {
+        int before = unsent.getAndUpdate(all -> Math.max(0, all - bytes));
+        unsentInAll.addAndGet(-Math.min(before, bytes));
     }
 
     private void give(byte[] message) {
         toSend.add(message);
-        if (!writing.getAndSet(true) && !started(this::write, "-writer")) {
-            letGo();
+        if (!writing.getAndSet(true)) {
+            writers.give(this::write);
         }
     }
 
-    /** Closes once all that was given before is written. */
+    /** Closes once all that was given before is written; at once where nothing is. */
     public void closeWhenSent() {
-        if (!gone) {
+        if (toSend.isEmpty() && !writing.get()) {
+            abort();
+        } else if (!gone.get()) {
             give(END);
         }
     }
 
-    /** Closes at once; both threads end. */
+    /** Closes at once; reader and writer end. */
     public void abort() {
-        gone = true;
-        Resources.close(socket);
-        if (writing.get()) {
-            toSend.add(END);
+        if (!gone.getAndSet(true)) {
+            Resources.close(socket);
+            toSend.clear();
+            sent(Integer.MAX_VALUE);
+            closed.run();
         }
     }
 
@@ -104,16 +110,8 @@
         byte[] together = new byte[2 << 10];
         try {
             OutputStream out = socket.getOutputStream();
-            while (true) {
-                // A thread costs fifty kilobytes of touched stack: one that only waits is let go after a while.
-                byte[] message = toSend.poll(limits.writerWaits / 10, TimeUnit.MILLISECONDS);
-                if (message == null) {
-                    writing.set(false);
-                    if (toSend.isEmpty() || writing.getAndSet(true)) {
-                        return;
-                    }
-                    continue;
-                }
+            do {
+                byte[] message = toSend.poll();
                 int filled = 0;
                 int left = 0;
                 // What waits already goes out in one write, for each write costs a switch on a shared core.
@@ -135,24 +133,20 @@
                     message = toSend.poll();
                 }
                 out.write(together, 0, filled);
-                unsent.addAndGet(-left);
-                unsentInAll.addAndGet(-left);
+                sent(left);
                 if (message == END) {
-                    break;
+                    abort();
+                    return;
                 }
-            }
-        } catch (IOException | InterruptedException e) {
+                writing.set(false);
+            } while (!toSend.isEmpty() && !writing.getAndSet(true));
+        } catch (IOException e) {
             // The reader meets the same end and tells of it.
+            abort();
         } catch (OutOfMemoryError e) {
             LOG.log(System.Logger.Level.ERROR, "writing a connection failed", e);
+            abort();
         }
-        letGo();
-    }
-
-    private void letGo() {
-        abort();
-        toSend.clear();
-        unsentInAll.addAndGet(-unsent.getAndSet(0));
     }
 
     private void read(Input input, int longestMessage) {
--- a/src/main/java/vetchrill/transport/InterpreterLink.java
+++ b/src/main/java/vetchrill/transport/InterpreterLink.java
@@ -12,15 +12,20 @@
     private static final System.Logger LOG = System.getLogger("vetchrill.link");
 
     private final Limits limits;
+    private final Workers readers;
+    private final Workers writers;
     private final Function<Connection, Connection.Input> opened;
     private volatile InetSocketAddress address;
     /** Counted down when the connection of now is lost or no longer the one to keep. */
     private volatile CountDownLatch over = new CountDownLatch(0);
 
     /** {@code opened} is called with each new connection before anything is read from it. */
-    public InterpreterLink(InetSocketAddress address, Limits limits, Function<Connection, Connection.Input> opened) {
+    public InterpreterLink(InetSocketAddress address, Limits limits, Workers readers, Workers writers,
+            Function<Connection, Connection.Input> opened) {
         this.address = address;
         this.limits = limits;
+        this.readers = readers;
+        this.writers = writers;
         this.opened = opened;
     }
 
@@ -39,7 +44,6 @@
 
     private void keep() {
         long pause = 0;
-        int number = 0;
         boolean told = false;
         while (true) {
             try {
@@ -58,11 +62,10 @@
                     socket.close();
                     throw e;
                 }
-                String name = "link" + ++number;
-                Connection connection = new Connection(socket, name, limits, new AtomicLong());
+                Connection connection = new Connection(socket, limits, readers, writers, new AtomicLong(), () -> { });
                 long since = System.nanoTime();
                 Connection.Input input = opened.apply(connection);
-                boolean started = connection.start(new Connection.Input() {
+                connection.start(new Connection.Input() {
                     @Override
                     public int take(byte[] buf, int from, int to) {
                         return input.take(buf, from, to);
@@ -75,9 +78,6 @@
                         lost.countDown();
                     }
                 }, limits.line);
-                if (!started) {
-                    continue;
-                }
                 told = false;
                 if (to == address) {
                     lost.await();
--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -7,7 +7,7 @@
 public final class Limits {
     private static final int CHECKS = 16;
     /** What the runtime holds itself, the link, the reports and what is just being closed. */
-    private static final int OWN = 40;
+    private static final int OWN = 56;
 
     /** What the program is given. */
     public final long memoryBytes;
@@ -35,7 +35,10 @@
 
     /** An arrival stamped earlier is taken to be so old. */
     public final long oldest = 600_000;
-    public final long writerWaits = 20_000;
+    /** A thread with nothing to do is kept so long, past those that always wait. */
+    public final long workerWaits = 100_000;
+    public final int spareReaders = 8;
+    public final int spareWriters = 4;
     /** The interpreter's gauges are waited for so long; then the last known ones are used. */
     public final long gaugeWait = 500;
     public final long connectWait = 10_000;
@@ -55,7 +58,7 @@
     /** What has crossed a close in this time is sent again elsewhere by its stub. */
     public final long crossing = 500;
     public final long roomWait = 50;
-    public final int roomTries = 40;
+    public final int roomTries = 10;
     /** Frames that no stub sends, after which nothing more is read from a connection. */
     public final int strikes = 8;
     /** Log lines on what peers do, between two summaries. */
--- a/src/test/java/vetchrill/control/DecisionsTest.java
+++ b/src/test/java/vetchrill/control/DecisionsTest.java
@@ -330,4 +330,20 @@
         s.arrive(10, "ex", s.read);
         assertTrue(s.decide().contains("deny ex"));
     }
+
+    /** A crowd that all come at once must not stop the decisions for everybody else. */
+    public void denyingACrowdTakesTimeInProportionToIt() {
+        Story s = new Story();
+        s.told.memoryKb = 1e9;
+        s.usualRuns(s.read, 20, 40 * Story.MS);
+        s.usualRuns(s.once, 20, 90 * Story.MS);
+        for (int i = 0; i < 4000; i++) {
+            s.arrives("one of many", i % 3 == 0 ? s.once : s.read);
+        }
+        long since = System.nanoTime();
+        long denied = s.decide().stream().filter(act -> act.startsWith("deny")).count();
+        long took = (System.nanoTime() - since) / 1_000_000;
+        assertTrue(denied > 3000, "denied " + denied);
+        assertTrue(took < 1500, took + " ms");
+    }
 }
