A try to open the link that is not heard of is given up after 0.1 s, then 0.2

At fault: InterpreterLink.keep, one wait of 1 s for every try. Ruled out: the decision thread, whose rounds were short until the link was back. Guards against any lost first packet; harm: an interpreter that takes over 0.1 s to accept sees two or three tries. The story fails with the former wait.

--- a/src/main/java/vetchrill/transport/InterpreterLink.java
+++ b/src/main/java/vetchrill/transport/InterpreterLink.java
@@ -44,6 +44,7 @@
 
     private void keep() {
         long pause = 0;
+        long wait = limits.firstConnect;
         boolean told = false;
         while (true) {
             try {
@@ -57,9 +58,12 @@
                 CountDownLatch lost = new CountDownLatch(1);
                 over = lost;
                 try {
-                    socket.connect(to, (int) (limits.connectWait / 10));
+                    // A peer whose backlog is full for a moment hears of the same try again only after a second.
+                    socket.connect(to, (int) (wait / 10));
+                    wait = limits.firstConnect;
                 } catch (IOException e) {
                     socket.close();
+                    wait = Math.min(limits.connectWait, 2 * wait);
                     throw e;
                 }
                 Connection connection = new Connection(socket, limits, readers, writers, new AtomicLong(), () -> { });
--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -41,6 +41,7 @@
     public final int spareWriters = 4;
     /** The interpreter's gauges are waited for so long; then the last known ones are used. */
     public final long gaugeWait = 500;
+    public final long firstConnect = 1_000;
     public final long connectWait = 10_000;
     public final long firstPause = 200;
     public final long longestPause = 2_000;
--- a/src/test/java/vetchrill/StandIns.java
+++ b/src/test/java/vetchrill/StandIns.java
@@ -62,8 +62,8 @@
         }
     }
 
-    private String configuration(Interpreter interpreter, Members members) {
-        String text = "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"vm\":\"127.0.0.1:" + interpreter.port()
+    private String configuration(int interpreter, Members members) {
+        String text = "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"vm\":\"127.0.0.1:" + interpreter
                 + "\",\"members\":\"127.0.0.1:" + members.port() + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"stop_ms\":5000,\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":64},\"settings\":"
                 + SETTINGS + "}";
@@ -75,6 +75,11 @@
 
     /** Replaces the configuration by one with these addresses, and says so to the process. */
     public void replace(Interpreter interpreter, Members members) throws IOException {
+        replace(configuration(interpreter.port(), members));
+    }
+
+    /** The same for an interpreter that is to be found at a port of the test's own. */
+    public void replace(int interpreter) throws IOException {
         replace(configuration(interpreter, members));
     }
 
@@ -86,7 +91,7 @@
     /** Starts the program as a process of its own and does not wait for it. */
     public StandIns start() throws IOException {
         file = Files.createTempFile("vetchrill", ".json");
-        Files.writeString(file, configuration(interpreter, members));
+        Files.writeString(file, configuration(interpreter.port(), members));
         String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", path, "vetchrill.Main", "serve");
--- a/src/test/java/vetchrill/program/ServeTest.java
+++ b/src/test/java/vetchrill/program/ServeTest.java
@@ -90,6 +90,21 @@
         }
     }
 
+    public void aLinkThatIsNotHeardOfAtFirstIsTriedAgainSoon() throws Exception {
+        try (StandIns world = new StandIns().up();
+                java.net.ServerSocket full = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress());
+                java.net.Socket one = new java.net.Socket(full.getInetAddress(), full.getLocalPort());
+                java.net.Socket two = new java.net.Socket(full.getInetAddress(), full.getLocalPort())) {
+            world.replace(full.getLocalPort());
+            world.untilLogged("configuration read again");
+            Thread.sleep(150);
+            full.accept();
+            full.accept();
+            full.setSoTimeout(600);
+            full.accept();
+        }
+    }
+
     public void reportsThatAreNeverAnsweredKeepNobodyWaiting() throws Exception {
         try (StandIns world = new StandIns()) {
             world.members.status = 0;
