An eighth of the descriptors is kept as connections; fewer threads cost less when stopped

Ruled out: compilation (0.04 s of 0.14), the decision thread (0.02), log lines (20). At fault: Limits kept half of the descriptors and 16 as connections before the longest idle gave way, and let 456 in.

Now an eighth of the descriptors is kept (48 of 384, 64 of 512) and half is let in for a crowd that comes at once; the rest waits unaccepted for at most half a second while idle ones give way. Threads with nothing to do end after 3 s (were 10). Guards against any flood of connections; harm: callers that really use more than that many at once, each less than every 50 ms, would have to reconnect; on one connection 32 exchanges may be open.

--- a/src/main/java/vetchrill/transport/Limits.java
+++ b/src/main/java/vetchrill/transport/Limits.java
@@ -5,16 +5,17 @@
  * It stands in the lowest layer, since every layer reads it. Times are tenths of a millisecond.
  */
 public final class Limits {
-    private static final int CHECKS = 16;
-    /** What the runtime holds itself, the link, the reports and what is just being closed. */
-    private static final int OWN = 56;
+    private static final int LEAST_CONNECTIONS = 32;
 
     /** What the program is given. */
     public final long memoryBytes;
 
-    /** Stubs take half of the descriptors, checks a few more; past it the longest idle gives way. */
+    /**
+     * Past it the longest idle gives way: an eighth of the descriptors, each with 32 exchanges. Every thread is woken
+     * whenever the machine stops this process for its share of the core, so idle ones cost what the others need.
+     */
     public final int connections;
-    /** What there is for a crowd of peers at once that say nothing, until they are closed for that. */
+    /** For a crowd that comes at once: half of the descriptors, as much as stubs may take. */
     public final int connectionsAtMost;
     public final int backlog = 1024;
     public final int threadStack = 144 << 10;
@@ -36,7 +37,7 @@
     /** An arrival stamped earlier is taken to be so old. */
     public final long oldest = 600_000;
     /** A thread with nothing to do is kept so long, past those that always wait. */
-    public final long workerWaits = 100_000;
+    public final long workerWaits = 30_000;
     public final int spareReaders = 8;
     public final int spareWriters = 4;
     /** The interpreter's gauges are waited for so long; then the last known ones are used. */
@@ -59,7 +60,7 @@
     /** What has crossed a close in this time is sent again elsewhere by its stub. */
     public final long crossing = 500;
     public final long roomWait = 50;
-    public final int roomTries = 10;
+    public final int roomTries = 100;
     /** Frames that no stub sends, after which nothing more is read from a connection. */
     public final int strikes = 8;
     /** Log lines on what peers do, between two summaries. */
@@ -73,8 +74,8 @@
 
     public Limits(long memoryBytes, int descriptors) {
         this.memoryBytes = memoryBytes;
-        connectionsAtMost = Math.max(2 * CHECKS, descriptors - OWN);
-        connections = Math.min(connectionsAtMost - CHECKS / 2, descriptors / 2 + CHECKS);
+        connections = Math.max(LEAST_CONNECTIONS, descriptors / 8);
+        connectionsAtMost = Math.max(connections + connections / 2, descriptors / 2);
         unsentInAll = memoryBytes / 12;
         bodiesInAll = memoryBytes / 8;
     }
