A full server asks callers away only for as long as its hold turns over

Checked with a line at each look: the hold empties in half a second and cpu stands at 0.5 to 0.8 while 900 exchanges are refused, of which the servers denied 227. The other 700 the callers denied themselves, for they were away. At fault: OverloadController.shed, 250 to 1,000 ms of advice from the longest allowed, beside an SLO time of 380 ms. Ruled out: cold servers, the bound, unread waits, hung runs, health.

The advice is now a quarter of the shortest SLO time at most, within the longest allowed; a server that leaves, hangs or fails still asks for the longest. Harm: where tries are dear and the SLO time short, callers come back sooner.

The story fails with the former advice.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -73,6 +74,8 @@
     private static final double ROAMING_COST = 0.5;
     /** Part of further tries among as many arrivals as this fades over, at which all servers must be full. */
     private static final double TURNED_AWAY = 0.4;
+    /** Part of the shortest SLO time in which a full hold turns over: to be away for longer idles cores. */
+    private static final int TURNOVER = 4;
     private static final double TRIES_FADE = 0.05;
     /** Steps of the free value at each look; a least rank past the top leaves the dearest ranks alone. */
     private static final double TOKENS_GROW = 1.05;
@@ -157,11 +160,7 @@
         idleSaid = idleTime;
         said = told.say == Deployment.Say.TOKENS ? MANY : 0;
         customerRate = new double[told.allowance.length];
-        double sum = 0;
-        for (double a : told.allowance) {
-            sum += a;
-        }
-        allowancePerServer = sum / told.servers;
+        allowancePerServer = Arrays.stream(told.allowance).sum() / told.servers;
         shortestSlo = told.groups.stream().mapToLong(group -> group.sloTime).min().orElse(Long.MAX_VALUE);
     }
 
@@ -605,10 +604,10 @@
         if (!judge) {
             return false;
         }
-        line = sorted(oldest, OLDEST);
+        line = order(held, oldest, OLDEST);
         Exchange hopeless = firstHopeless();
         if (hopeless != null) {
-            line = sorted(dearest, Comparator.comparingDouble((Exchange e) -> -density(e)).thenComparing(OLDEST));
+            line = order(oldest, dearest, Comparator.comparingDouble(ex -> -density(ex)));
             hopeless = firstHopeless();
         }
         if (hopeless == null && memory > HOLD_MARK * told.memoryKb && !line.isEmpty()) {
@@ -622,8 +621,9 @@
         hopeless.answered = true;
         release(hopeless);
         if (mayBeDenied(hopeless)) {
+            boolean soon = !stuck && !failing && !leaving;
             boolean forGood = !stuck && !failing && shouldGiveUp();
-            long away = told.longestAway / 4;
+            long away = Math.min(told.longestAway, soon ? shortestSlo / TURNOVER : Long.MAX_VALUE) / 4;
             host.deny(hopeless, away + chance.nextLong(3 * away + 1), forGood);
         } else {
             host.terminate(hopeless);
@@ -631,12 +631,12 @@
         return true;
     }
 
-    private List<Exchange> sorted(List<Exchange> order, Comparator<Exchange> by) {
-        if (order.isEmpty()) {
-            order.addAll(held);
-            order.sort(by);
+    private static List<Exchange> order(List<Exchange> from, List<Exchange> list, Comparator<Exchange> by) {
+        if (list.isEmpty()) {
+            list.addAll(from);
+            list.sort(by);
         }
-        return order;
+        return list;
     }
 
     /**
--- a/src/test/java/vetchrill/control/DecisionsTest.java
+++ b/src/test/java/vetchrill/control/DecisionsTest.java
@@ -331,6 +331,20 @@
         assertTrue(s.decide().contains("deny ex"));
     }
 
+    /** Told a second where the hold turns over in half of one, all callers were away while cores were idle. */
+    public void aFullServerAsksToStayAwayForAsLongAsItsHoldTurnsOverAndALeavingOneForLonger() {
+        Story s = new Story();
+        s.usualRuns(s.read, 20, 200 * Story.MS);
+        s.arrive(60, "one of many", s.read);
+        s.decide();
+        assertTrue(s.longestAwayAsked > 300 * Story.MS && s.longestAwayAsked <= 500 * Story.MS,
+                "away " + s.longestAwayAsked);
+        s.controller().leave(s.now + 4 * Story.SECOND, s.now);
+        s.arrive(60, "one of many", s.read);
+        s.decide();
+        assertTrue(s.longestAwayAsked > 600 * Story.MS, "leaving " + s.longestAwayAsked);
+    }
+
     /** A crowd that all come at once must not stop the decisions for everybody else. */
     public void denyingACrowdTakesTimeInProportionToIt() {
         Story s = new Story();
--- a/src/test/java/vetchrill/control/Story.java
+++ b/src/test/java/vetchrill/control/Story.java
@@ -24,6 +24,7 @@
     double cpu = 1;
     double runnable = 2;
     double connections;
+    long longestAwayAsked;
     long now = 5 * SECOND;
     private OverloadController controller;
 
@@ -139,7 +140,11 @@
     }
 
     @Override public void begin(Exchange ex) { note("begin", ex); }
-    @Override public void deny(Exchange ex, long away, boolean last) { note(last ? "deny for good" : "deny", ex); }
+    @Override public void deny(Exchange ex, long away, boolean last) {
+        longestAwayAsked = Math.max(longestAwayAsked, away);
+        note(last ? "deny for good" : "deny", ex);
+    }
+
     @Override public void terminate(Exchange ex) { note("terminate", ex); }
     @Override public void interrupt(Exchange ex) { note("interrupt", ex); }
     @Override public void call(Exchange ex, long until) { note("call", ex); }
