--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -160,8 +160,9 @@
     private void summary() {
         LOG.log(System.Logger.Level.INFO, "completed {0} denied {1} terminated {2}; open {3} on {4} connections, "
                 + "{5} closed idle, {6} to make room, {7} lines left out; oldest arrival {8} ms, longest round {9} ms, "
-                + "{10} inputs waiting, {11} looks without gauges", book.completed, book.denied, book.terminated, book.size(), book.connections(),
-                book.idleClosed, book.evicted, Math.max(0, -lines.getAndSet(limits.lines)), admit.oldest / 10,
+                + "{10} inputs waiting, {11} looks without gauges",
+                book.completed, book.denied, book.terminated, book.size(), book.connections(), book.idleClosed,
+                book.evicted, Math.max(0, -lines.getAndSet(limits.lines)), admit.oldest / 10,
                 thread.longestRound / 10, thread.mostWaiting, send.looksWithout);
         admit.oldest = 0;
         thread.longestRound = 0;
