Say once how lines on peers are counted, that a frame was heard, and why a report is not resent

Read once more, behaviour as it was. Three places counted log lines on peers down by hand and a fourth filled them up: PeerLines does both. TakeIn noted twice that a whole frame had come: Stub.hears. MembershipCall closed and threw in two catches of the same kind, and a parameter hid the field beside it. In the module the advice's expression no longer goes by Long.MAX_VALUE, and TURNOVER no longer stands between TURNED_AWAY and the TRIES_FADE that its comment speaks of.

Left as it is, since mending it would change behaviour: Book.closeIfDone closes without the abort that Book.close has behind it, so a peer that has shut its own side and never reads keeps its connection until the unsent bytes pass their bound or the process ends.

--- a/src/main/java/vetchrill/control/OverloadController.java
+++ b/src/main/java/vetchrill/control/OverloadController.java
@@ -74,9 +74,9 @@
     private static final double ROAMING_COST = 0.5;
     /** Part of further tries among as many arrivals as this fades over, at which all servers must be full. */
     private static final double TURNED_AWAY = 0.4;
+    private static final double TRIES_FADE = 0.05;
     /** Part of the shortest SLO time in which a full hold turns over: to be away for longer idles cores. */
     private static final int TURNOVER = 4;
-    private static final double TRIES_FADE = 0.05;
     /** Steps of the free value at each look; a least rank past the top leaves the dearest ranks alone. */
     private static final double TOKENS_GROW = 1.05;
     private static final double LEVEL_UP = 0.02;
@@ -623,7 +623,7 @@
         if (mayBeDenied(hopeless)) {
             boolean soon = !stuck && !failing && !leaving;
             boolean forGood = !stuck && !failing && shouldGiveUp();
-            long away = Math.min(told.longestAway, soon ? shortestSlo / TURNOVER : Long.MAX_VALUE) / 4;
+            long away = (soon ? Math.min(told.longestAway, shortestSlo / TURNOVER) : told.longestAway) / 4;
             host.deny(hopeless, away + chance.nextLong(3 * away + 1), forGood);
         } else {
             host.terminate(hopeless);
--- a/src/main/java/vetchrill/protocol/MembershipCall.java
+++ b/src/main/java/vetchrill/protocol/MembershipCall.java
@@ -40,12 +40,10 @@
         boolean kept = socket != null;
         try {
             return once(up, to);
-        } catch (SocketTimeoutException e) {
-            close();
-            throw e;
         } catch (IOException e) {
             close();
-            if (!kept) {
+            // One without an answer has arrived all the same: it is not sent twice.
+            if (!kept || e instanceof SocketTimeoutException) {
                 throw e;
             }
         }
@@ -65,18 +63,18 @@
         }
     }
 
-    private int once(boolean up, InetSocketAddress address) throws IOException {
+    private int once(boolean up, InetSocketAddress to) throws IOException {
         if (socket == null) {
             Socket fresh = new Socket();
             socket = fresh;
-            socketTo = address;
+            socketTo = to;
             fresh.setTcpNoDelay(true);
             fresh.setSoTimeout((int) (limits.reportWait / 10));
-            fresh.connect(address, (int) (limits.reportWait / 10));
+            fresh.connect(to, (int) (limits.reportWait / 10));
         }
         String body = up ? "{\"phase\":\"UP\"}" : "{\"phase\":\"OUT\"}";
-        String call = "PUT /members/" + name + " HTTP/1.1\r\nHost: " + address.getHostString() + ":"
-                + address.getPort() + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
+        String call = "PUT /members/" + name + " HTTP/1.1\r\nHost: " + to.getHostString() + ":"
+                + to.getPort() + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
                 + "\r\n\r\n" + body;
         OutputStream out = socket.getOutputStream();
         out.write(call.getBytes(StandardCharsets.US_ASCII));
--- a/src/main/java/vetchrill/routing/Admit.java
+++ b/src/main/java/vetchrill/routing/Admit.java
@@ -1,6 +1,5 @@
 package vetchrill.routing;
 
-import java.util.concurrent.atomic.AtomicInteger;
 import vetchrill.control.Exchange;
 import vetchrill.control.OverloadController;
 import vetchrill.protocol.DeploymentReader;
@@ -16,7 +15,7 @@
     private final Clock clock;
     private final Book book;
     private final Limits limits;
-    private final AtomicInteger lines;
+    private final PeerLines lines;
     private Route route;
     private OverloadController controller;
     /** When the process stops; 0 while nothing is known of that. */
@@ -26,7 +25,7 @@
     long oldest;
 
     Admit(DeploymentReader facts, long seed, Clock clock, Book book, Limits limits,
-            AtomicInteger lines) {
+            PeerLines lines) {
         this.facts = facts;
         this.seed = seed;
         this.clock = clock;
@@ -83,9 +82,7 @@
     /** For what no stub does; see {@link TakeIn} for where it ends. */
     void strike(Open ex, String what) {
         ex.stub.strikes.incrementAndGet();
-        if (lines.decrementAndGet() >= 0) {
-            LOG.log(System.Logger.Level.WARNING, "bad input: {0}", what);
-        }
+        lines.tell(LOG, "bad input: {0}", what);
     }
 
     private void turnAway(Open ex, byte[] frame) {
--- a/src/main/java/vetchrill/routing/Chain.java
+++ b/src/main/java/vetchrill/routing/Chain.java
@@ -34,8 +34,7 @@
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicLong unsent = new AtomicLong();
     private final AtomicLong heldBytes = new AtomicLong();
-    /** Log lines on what peers do that are left until the next summary. */
-    private final AtomicInteger lines = new AtomicInteger();
+    private final PeerLines lines;
     private long lastNotice;
 
     public Chain(DeploymentReader facts, long seed, Clock clock, DecisionThread thread, MembershipCall membership,
@@ -44,7 +43,7 @@
         this.limits = limits;
         this.clock = clock;
         this.thread = thread;
-        lines.set(limits.lines);
+        lines = new PeerLines(limits);
         readers = new Workers("reader", limits.spareReaders, limits);
         writers = new Workers("writer", limits.spareWriters, limits);
         book = new Book(limits, thread, heldBytes, facts.deployment.callerIdleTime);
@@ -82,9 +81,7 @@
             Resources.pause(limits.roomWait);
         }
         if (connections.get() >= limits.connectionsAtMost) {
-            if (lines.decrementAndGet() >= 0) {
-                LOG.log(System.Logger.Level.WARNING, "a connection past {0}: closed", limits.connectionsAtMost);
-            }
+            lines.tell(LOG, "a connection past {0}: closed", limits.connectionsAtMost);
             Resources.close(socket);
             return;
         }
@@ -162,7 +159,7 @@
                 + "{5} closed idle, {6} to make room, {7} lines left out; oldest arrival {8} ms, longest round {9} ms, "
                 + "{10} inputs waiting, {11} looks without gauges",
                 book.completed, book.denied, book.terminated, book.size(), book.connections(), book.idleClosed,
-                book.evicted, Math.max(0, -lines.getAndSet(limits.lines)), admit.oldest / 10,
+                book.evicted, lines.leftOut(), admit.oldest / 10,
                 thread.longestRound / 10, thread.mostWaiting, send.looksWithout);
         admit.oldest = 0;
         thread.longestRound = 0;
--- a/src/main/java/vetchrill/routing/Stub.java
+++ b/src/main/java/vetchrill/routing/Stub.java
@@ -31,6 +31,12 @@
         lastUsed = now;
     }
 
+    /** On the reader's thread: a whole frame has come. */
+    void hears(long now) {
+        lastUsed = now;
+        heard = true;
+    }
+
     boolean idle() {
         return open.isEmpty() && onTheWay.get() == 0;
     }
--- a/src/main/java/vetchrill/routing/TakeIn.java
+++ b/src/main/java/vetchrill/routing/TakeIn.java
@@ -1,7 +1,6 @@
 package vetchrill.routing;
 
 import java.util.Arrays;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.Fields;
@@ -24,11 +23,11 @@
     private final Book book;
     private final Report report;
     private final AtomicLong heldBytes;
-    private final AtomicInteger lines;
+    private final PeerLines lines;
     private final Fields fields = new Fields();
 
     TakeIn(DeploymentReader facts, Limits limits, DecisionThread thread, Clock clock, Stub stub, Admit admit,
-            Book book, Report report, AtomicLong heldBytes, AtomicInteger lines) {
+            Book book, Report report, AtomicLong heldBytes, PeerLines lines) {
         this.facts = facts;
         this.limits = limits;
         this.thread = thread;
@@ -44,8 +43,7 @@
     @Override
     public boolean frame(int type, int stream, byte[] buf, int from, int to) {
         String wrong = fields.read(buf, from, to);
-        stub.lastUsed = clock.now();
-        stub.heard = true;
+        stub.hears(clock.now());
         if (type == Frames.CHECK) {
             // Answered from here, so that checks are heard while the decision thread is busy denying.
             stub.connection.send(Frames.checked(stream, wrong == null && report.isGood()));
@@ -129,8 +127,7 @@
 
     @Override
     public boolean oversized(int type, int stream) {
-        stub.lastUsed = clock.now();
-        stub.heard = true;
+        stub.hears(clock.now());
         if (type == Frames.EXCHANGE) {
             bad(stream, "a frame far beyond what an exchange needs");
         }
@@ -148,10 +145,10 @@
         stub.connection.send(Frames.terminated(0));
     }
 
-    /** Once for each connection, and so many between two summaries: rubbish must not fill the log. */
+    /** Once for each connection. */
     private void tell(String wrong) {
-        if (stub.strikes.getAndIncrement() == 0 && lines.decrementAndGet() >= 0) {
-            LOG.log(System.Logger.Level.WARNING, "bad input: {0}", wrong);
+        if (stub.strikes.getAndIncrement() == 0) {
+            lines.tell(LOG, "bad input: {0}", wrong);
         }
     }
 
