--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .PHONY: build test lint run clean
 
 build:
-	mvn -B -ntp -Dmaven.test.skip=true package
+	mvn -B -ntp -pl instance -am -Dmaven.test.skip=true package
 	deploy/archive.sh
 
 test:
--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -2,12 +2,12 @@
 # Leaves the decoded classes of a short start beside the jar, which halves what a start costs on a shared core.
 # Without the archive the program starts all the same, so nothing in here fails a build.
 cd "$(dirname "$0")/.." || exit 0
-told=target/archive.json
-log=target/archive.log
-rm -f target/vetchrill.jsa
+told=instance/target/archive.json
+log=instance/target/archive.log
+rm -f instance/target/vetchrill.jsa
 sed 's/127.0.0.1:16565/127.0.0.1:0/' deploy/example.json > $told || exit 0
-GW_CONFIG=$told java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit=target/vetchrill.jsa \
-    -jar target/vetchrill.jar serve > $log 2>&1 &
+GW_CONFIG=$told java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit=instance/target/vetchrill.jsa \
+    -jar instance/target/vetchrill.jar serve > $log 2>&1 &
 started=$!
 tries=0
 until grep -q ' listens on ' $log; do
