An exchange and a look can be written down by a recorder, off by default

Change: one door, Recorder, which the decision thread asks for a row and never waits for; Book alone counts and records answers, which stood beside each of them before.

--- a/instance/src/main/java/vetchrill/program/Serve.java
+++ b/instance/src/main/java/vetchrill/program/Serve.java
@@ -10,6 +10,7 @@
 import vetchrill.routing.Chain;
 import vetchrill.routing.Clock;
 import vetchrill.routing.DecisionThread;
+import vetchrill.routing.Recorder;
 import vetchrill.transport.Limits;
 import vetchrill.transport.Listener;
 import vetchrill.transport.Resources;
@@ -23,6 +24,11 @@
 
     /** Serves until SIGTERM has been followed to its end; what the process exits with. */
     public static int run(Map<String, String> environment) {
+        return run(environment, null);
+    }
+
+    /** The same, with what it does written down by {@code recorder} unless that is null. */
+    public static int run(Map<String, String> environment, Recorder recorder) {
         Start start;
         try {
             start = new Start(environment);
@@ -34,7 +40,7 @@
         Clock clock = new Clock();
         DecisionThread thread = new DecisionThread(clock, limits);
         Chain chain = new Chain(start.facts, start.seed, clock, thread,
-                new MembershipCall(start.members, start.name, limits), limits);
+                new MembershipCall(start.members, start.name, limits), limits, recorder);
         Listener listener;
         try {
             listener = new Listener(start.listen, limits, chain::accepted);
@@ -72,6 +78,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (recorder != null) {
+            recorder.close();
+        }
         return 0;
     }
 
--- a/instance/src/main/java/vetchrill/protocol/DeploymentReader.java
+++ b/instance/src/main/java/vetchrill/protocol/DeploymentReader.java
@@ -17,6 +17,7 @@
     public final int cpuAt;
     public final int runnableAt;
     public final int connectionsAt;
+    public final int memoryAt;
     /** Names by which the door knows groups and customers, in the order of the deployment. */
     public final List<String> groupNames = new ArrayList<>();
     public final List<String> customerNames = new ArrayList<>();
@@ -79,6 +80,7 @@
         cpuAt = position(meters, "cpu_busy");
         runnableAt = position(meters, "runnable");
         connectionsAt = position(meters, "sockets");
+        memoryAt = position(meters, "mem_used");
     }
 
     private static JsonNode parsed(String options) {
--- a/instance/src/main/java/vetchrill/protocol/Fields.java
+++ b/instance/src/main/java/vetchrill/protocol/Fields.java
@@ -78,6 +78,17 @@
         return -1;
     }
 
+    /** Tells a slice to whoever asks. */
+    public interface Slice {
+        long of(byte[] buf, int from, int to);
+    }
+
+    /** What {@code slice} makes of the value of a field; 0 where it is absent. */
+    public long told(String name, Slice slice) {
+        int i = find(name);
+        return i < 0 ? 0 : slice.of(buf, valueFrom[i], valueFrom[i] + valueSize[i]);
+    }
+
     /** A whole number of up to 18 digits; -1 where it is absent or no such number. */
     public long whole(String name) {
         int i = find(name);
--- a/instance/src/main/java/vetchrill/routing/Admit.java
+++ b/instance/src/main/java/vetchrill/routing/Admit.java
@@ -16,6 +16,8 @@
     private final Book book;
     private final Limits limits;
     private final PeerLines lines;
+    /** Null where nothing is recorded. */
+    private final Recorder recorder;
     private Route route;
     private OverloadController controller;
     /** When the process stops; 0 while nothing is known of that. */
@@ -25,13 +27,14 @@
     long oldest;
 
     Admit(DeploymentReader facts, long seed, Clock clock, Book book, Limits limits,
-            PeerLines lines) {
+            PeerLines lines, Recorder recorder) {
         this.facts = facts;
         this.seed = seed;
         this.clock = clock;
         this.book = book;
         this.limits = limits;
         this.lines = lines;
+        this.recorder = recorder;
     }
 
     /** The interpreter is up: only now is there something to decide on, and known since when it warms up. */
@@ -75,6 +78,7 @@
             return;
         }
         oldest = Math.max(oldest, now - ex.arrived);
+        ex.heard = now;
         book.add(ex);
         controller.arrived(ex, now);
     }
@@ -100,6 +104,7 @@
     }
 
     void finished(Open ex, Exchange.Outcome outcome, long took) {
+        ex.took = took;
         controller.finished(ex, outcome, took, clock.now());
         book.forgetIfOver(ex);
     }
@@ -114,6 +119,23 @@
      */
     void look() {
         controller.gauges(gauge(facts.cpuAt), gauge(facts.runnableAt), book.inUse(), clock.now());
+        if (recorder != null) {
+            record();
+        }
+    }
+
+    private void record() {
+        Recorder.LookRow row = recorder.claimLook();
+        if (row != null) {
+            row.at = clock.now();
+            row.cpu = (float) gauge(facts.cpuAt);
+            row.runnable = (float) gauge(facts.runnableAt);
+            row.memory = (float) gauge(facts.memoryAt);
+            row.connections = book.inUse();
+            row.open = book.size();
+            row.running = book.running();
+            recorder.put(row);
+        }
     }
 
     private double gauge(int at) {
--- a/instance/src/main/java/vetchrill/routing/Book.java
+++ b/instance/src/main/java/vetchrill/routing/Book.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.Frames;
 import vetchrill.transport.Limits;
 
@@ -21,6 +22,9 @@
     /** That of the callers: some hold for good what they don't use any more. */
     private final long callerIdleTime;
     private long idleTime;
+    private final DeploymentReader facts;
+    /** Null where nothing is recorded. */
+    private final Recorder recorder;
     private boolean drained;
     int completed;
     int denied;
@@ -28,9 +32,11 @@
     int idleClosed;
     int evicted;
 
-    Book(Limits limits, DecisionThread thread, AtomicLong heldBytes, long idleTime) {
-        callerIdleTime = idleTime;
-        this.idleTime = idleTime;
+    Book(Limits limits, DecisionThread thread, AtomicLong heldBytes, DeploymentReader facts, Recorder recorder) {
+        this.facts = facts;
+        this.recorder = recorder;
+        callerIdleTime = facts.deployment.callerIdleTime;
+        idleTime = callerIdleTime;
         this.limits = limits;
         this.thread = thread;
         this.heldBytes = heldBytes;
@@ -55,6 +61,8 @@
         List<Open> lost = new ArrayList<>(stub.open.values());
         for (Open ex : lost) {
             ex.done = true;
+            ex.answer = Recorder.LEFT;
+            ex.answeredAt = thread.now();
         }
         stub.open.clear();
         return lost;
@@ -79,12 +87,37 @@
         ex.stub.carried = true;
     }
 
-    /** Gives the exchange its answer, unless it has one. */
-    void answer(Open ex, byte[] frame, long now) {
-        if (ex.done) {
-            return;
+    /** {@code frame} was made where its stream was not known yet. */
+    void complete(Open ex, byte[] frame, long now) {
+        if (!ex.done) {
+            Frames.onStream(frame, ex.stream);
+            completed++;
+            answer(ex, Recorder.COMPLETED, frame, now);
         }
+    }
+
+    /** {@code away} in tenths of a millisecond, 0 for no advice. */
+    void deny(Open ex, long away, boolean giveUp, long now) {
+        if (!ex.done) {
+            denied++;
+            ex.away = away;
+            ex.giveUp = giveUp;
+            answer(ex, Recorder.DENIED, Frames.denied(ex.stream, (away + 9) / 10, giveUp), now);
+        }
+    }
+
+    void terminate(Open ex, long now) {
+        if (!ex.done) {
+            terminated++;
+            answer(ex, Recorder.TERMINATED, Frames.terminated(ex.stream), now);
+        }
+    }
+
+    /** The exchange's one answer. */
+    private void answer(Open ex, byte answer, byte[] frame, long now) {
         ex.done = true;
+        ex.answer = answer;
+        ex.answeredAt = now;
         ex.stub.open.remove(ex.stream);
         ex.stub.lastUsed = now;
         forgetIfOver(ex);
@@ -96,6 +129,30 @@
     void forgetIfOver(Open ex) {
         if (ex.done && ex.over() && byId.remove(ex.id) != null) {
             drop(ex);
+            if (recorder != null) {
+                record(ex);
+            }
+        }
+    }
+
+    private void record(Open ex) {
+        Recorder.ExchangeRow row = recorder.claimExchange();
+        if (row != null) {
+            row.arrived = ex.arrived;
+            row.heard = ex.heard;
+            row.group = facts.deployment.groups.indexOf(ex.group);
+            row.customer = ex.customer;
+            row.stub = ex.peer;
+            row.subject = ex.subject;
+            row.kb = (float) ex.kb;
+            row.bytes = ex.body.length;
+            row.begun = ex.begunAt;
+            row.took = ex.took;
+            row.answered = ex.answeredAt;
+            row.answer = ex.answer;
+            row.away = ex.away;
+            row.giveUp = ex.giveUp;
+            recorder.put(row);
         }
     }
 
@@ -103,6 +160,15 @@
         return new ArrayList<>(byId.values());
     }
 
+    /** Begun and not over; asked for where looks are recorded only. */
+    int running() {
+        int running = 0;
+        for (Open ex : byId.values()) {
+            running += ex.begun && !ex.over() ? 1 : 0;
+        }
+        return running;
+    }
+
     int size() {
         return byId.size();
     }
--- a/instance/src/main/java/vetchrill/routing/Chain.java
+++ b/instance/src/main/java/vetchrill/routing/Chain.java
@@ -35,10 +35,13 @@
     private final AtomicLong unsent = new AtomicLong();
     private final AtomicLong heldBytes = new AtomicLong();
     private final PeerLines lines;
+    /** Null where nothing is recorded. */
+    private final Recorder recorder;
     private long lastNotice;
 
     public Chain(DeploymentReader facts, long seed, Clock clock, DecisionThread thread, MembershipCall membership,
-            Limits limits) {
+            Limits limits, Recorder recorder) {
+        this.recorder = recorder;
         this.facts = facts;
         this.limits = limits;
         this.clock = clock;
@@ -46,8 +49,8 @@
         lines = new PeerLines(limits);
         readers = new Workers("reader", limits.spareReaders, limits);
         writers = new Workers("writer", limits.spareWriters, limits);
-        book = new Book(limits, thread, heldBytes, facts.deployment.callerIdleTime);
-        admit = new Admit(facts, seed, clock, book, limits, lines);
+        book = new Book(limits, thread, heldBytes, facts, recorder);
+        admit = new Admit(facts, seed, clock, book, limits, lines, recorder);
         send = new Send(limits, thread, clock, book, admit);
         report = new Report(membership, limits);
         route = new Route(clock, thread, book, send, report);
@@ -91,7 +94,8 @@
                     connections::decrementAndGet);
             Stub stub = new Stub(connection, clock.now());
             thread.post(() -> book.opened(stub));
-            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report, heldBytes, lines);
+            TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report, heldBytes, lines,
+                    recorder);
             connection.start(new FrameReader(limits, takeIn), limits.frame);
         } catch (IOException e) {
             connections.decrementAndGet();
--- a/instance/src/main/java/vetchrill/routing/Open.java
+++ b/instance/src/main/java/vetchrill/routing/Open.java
@@ -10,6 +10,17 @@
     final int stream;
     /** The only part of its frame that outlives the buffer. */
     final byte[] body;
+    /** The number that its stub goes by, and what stands for its subject where this is recorded. */
+    long peer;
+    long subject;
+    /** What is recorded of it: when the decision thread heard of it, began it and answered it, and its run. */
+    long heard;
+    long begunAt;
+    long answeredAt;
+    long took;
+    byte answer;
+    long away;
+    boolean giveUp;
     /** It has its one final answer. */
     boolean done;
     /** The module has begun it. */
--- /dev/null
+++ b/instance/src/main/java/vetchrill/routing/Recorder.java
@@ -0,0 +1,66 @@
+package vetchrill.routing;
+
+/**
+ * Who writes down what an instance does, where an operator has asked for it. The decision thread claims a row, fills it
+ * and puts it: neither ever waits, and a row that there is no room for is counted by the recorder and left out.
+ */
+public interface Recorder {
+    /** How an exchange was answered. */
+    byte COMPLETED = 1;
+    byte DENIED = 2;
+    byte TERMINATED = 3;
+    /** Its connection was reset, so that no answer could reach its caller. */
+    byte LEFT = 4;
+
+    /** One exchange, written down when it is answered and nothing of it runs any more. Times as on {@link Clock}. */
+    final class ExchangeRow {
+        public long arrived;
+        /** When it came to the decision thread: what lies between is its reading. */
+        public long heard;
+        public int group;
+        public int customer;
+        /** The number that its stub goes by. */
+        public long stub;
+        /** What {@link Recorder#subject} made of its subject; 0 where it names none. */
+        public long subject;
+        public float kb;
+        public int bytes;
+        /** When its run was begun; 0 where it never ran. */
+        public long begun;
+        /** How long its run took by the interpreter's word, in tenths of a millisecond. */
+        public long took;
+        public long answered;
+        public byte answer;
+        /** The advice that went with a denial: tenths of a millisecond to stay away, 0 for none. */
+        public long away;
+        public boolean giveUp;
+    }
+
+    /** One look at the gauges. */
+    final class LookRow {
+        public long at;
+        public float cpu;
+        public float runnable;
+        public float memory;
+        public int connections;
+        public int open;
+        /** Of those open, how many run. */
+        public int running;
+    }
+
+    /** On any reader's thread: a number that stands for the subject in the slice, never 0. */
+    long subject(byte[] buf, int from, int to);
+
+    /** On the decision thread; null where there is no room. */
+    ExchangeRow claimExchange();
+
+    void put(ExchangeRow row);
+
+    /** On the decision thread; null where there is no room. */
+    LookRow claimLook();
+
+    void put(LookRow row);
+
+    /** At the end of the drain, on the main thread: what was put is written. */
+    void close();
+}
--- a/instance/src/main/java/vetchrill/routing/Relay.java
+++ b/instance/src/main/java/vetchrill/routing/Relay.java
@@ -55,12 +55,9 @@
         chain.admit.finished(ex, outcome, took);
         if (!ex.done && outcome != Outcome.STOPPED) {
             if (outcome == Outcome.COMPLETED) {
-                Frames.onStream(answer, ex.stream);
-                chain.book.completed++;
-                chain.book.answer(ex, answer, now);
+                chain.book.complete(ex, answer, now);
             } else {
-                chain.book.terminated++;
-                chain.book.answer(ex, Frames.terminated(ex.stream), now);
+                chain.book.terminate(ex, now);
             }
         }
     }
@@ -80,8 +77,7 @@
             } else if (ex.begun && !ex.over()) {
                 chain.admit.strike(ex, "the interpreter knows nothing of it: " + text);
                 chain.admit.finished(ex, Outcome.NOTHING_STARTED, 0);
-                chain.book.terminated++;
-                chain.book.answer(ex, Frames.terminated(ex.stream), chain.clock.now());
+                chain.book.terminate(ex, chain.clock.now());
             }
         });
     }
--- a/instance/src/main/java/vetchrill/routing/Route.java
+++ b/instance/src/main/java/vetchrill/routing/Route.java
@@ -2,7 +2,6 @@
 
 import vetchrill.control.Exchange;
 import vetchrill.control.Host;
-import vetchrill.protocol.Frames;
 
 /** Carries out the module's decisions one by one: to the interpreter, to the stub, or into the book. */
 final class Route implements Host {
@@ -25,6 +24,7 @@
     @Override
     public void begin(Exchange ex) {
         trace("begin", (Open) ex);
+        ((Open) ex).begunAt = clock.now();
         send.apply((Open) ex);
     }
 
@@ -32,16 +32,14 @@
     public void deny(Exchange ex, long away, boolean giveUp) {
         Open open = (Open) ex;
         trace("deny", open);
-        book.denied++;
-        book.answer(open, Frames.denied(open.stream, (away + 9) / 10, giveUp), clock.now());
+        book.deny(open, away, giveUp, clock.now());
     }
 
     @Override
     public void terminate(Exchange ex) {
         Open open = (Open) ex;
         trace("terminate", open);
-        book.terminated++;
-        book.answer(open, Frames.terminated(open.stream), clock.now());
+        book.terminate(open, clock.now());
         send.answered(open);
     }
 
--- a/instance/src/main/java/vetchrill/routing/TakeIn.java
+++ b/instance/src/main/java/vetchrill/routing/TakeIn.java
@@ -24,10 +24,12 @@
     private final Report report;
     private final AtomicLong heldBytes;
     private final PeerLines lines;
+    /** Null where nothing is recorded. */
+    private final Recorder recorder;
     private final Fields fields = new Fields();
 
     TakeIn(DeploymentReader facts, Limits limits, DecisionThread thread, Clock clock, Stub stub, Admit admit,
-            Book book, Report report, AtomicLong heldBytes, PeerLines lines) {
+            Book book, Report report, AtomicLong heldBytes, PeerLines lines, Recorder recorder) {
         this.facts = facts;
         this.limits = limits;
         this.thread = thread;
@@ -38,6 +40,7 @@
         this.report = report;
         this.heldBytes = heldBytes;
         this.lines = lines;
+        this.recorder = recorder;
     }
 
     @Override
@@ -91,7 +94,8 @@
         if (!(rank >= 0 && rank < 1)) {
             return "no prio within its range";
         }
-        if (fields.whole("peer") < 0) {
+        long peer = fields.whole("peer");
+        if (peer < 0) {
             return "no peer";
         }
         if (stream == 0) {
@@ -110,6 +114,10 @@
         ex.group = facts.deployment.groups.get(group);
         ex.customer = customer;
         ex.kb = kb;
+        ex.peer = peer;
+        if (recorder != null) {
+            ex.subject = fields.told("obj", recorder::subject);
+        }
         ex.arrived = clock.stamped(stamp, limits.oldest);
         stub.onTheWay.incrementAndGet();
         thread.post(() -> admit.arrived(ex));
