Lab: fleets in HCL with all mistakes at once, the model with real modules, captures and their fit

Change: first text of the planner's parts, not reachable from a command yet: HCL reader that keeps lines, fleet file, virtual-time world with the real OverloadController behind Host, time wheel, Arrow capture, clocks, tries, fit.

--- /dev/null
+++ b/lab/src/main/java/vetchrill/model/HeapQueue.java
@@ -0,0 +1,37 @@
+package vetchrill.model;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** The plain queue that the wheel is measured against. */
+public final class HeapQueue implements EventQueue {
+    static final Comparator<Event> ORDER = (a, b) -> {
+        int by = Long.compare(a.time, b.time);
+        return by != 0 ? by : Long.compare(a.number, b.number);
+    };
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>(ORDER);
+    private long now;
+    private long numbered;
+
+    @Override
+    public void add(long time, Event event) {
+        event.time = Math.max(now, time);
+        event.number = numbered++;
+        events.add(event);
+    }
+
+    @Override
+    public Event poll() {
+        Event event = events.poll();
+        if (event != null) {
+            now = event.time;
+        }
+        return event;
+    }
+
+    @Override
+    public long now() {
+        return now;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/model/Peaks.java
@@ -0,0 +1,31 @@
+package vetchrill.model;
+
+/** How near to its limits a run came; shares of the limit, 1 where it is reached, unless said otherwise. */
+public final class Peaks {
+    /** Cores busy in the mean of all relays and of the time counted, and of the busiest relay. */
+    public double cores;
+    public double coresOfOne;
+    /** Core time spent on reading, of all there is. */
+    public double reading;
+    /** Running for each core in the mean of the span that is survived, of what is survived. */
+    public double crowd;
+    public double memory;
+    /** Tries denied, of all tries. */
+    public double deniedTries;
+    /** Connections open at one relay, of its table; and with what a relay keeps open besides, of its descriptors. */
+    public double connections;
+    public double descriptors;
+    /** Choices of a stub that heeds advice which found every listed relay to be kept away from, of all its choices. */
+    public double allAway;
+    /** From the notice to leave until the last answer, of the time until the stop. */
+    public double drain;
+    /** Tries sent to a relay that was gone, of all tries. */
+    public double unreachable;
+    /** Calls in hand at the tier below, of its slots. */
+    public double tier;
+    /** Arrivals at the relay that gets most, for each at the mean relay. */
+    public double hotSpot;
+    /** Relays that died of their memory or of their crowd; and exchanges open at a stop. */
+    public int fell;
+    public int lostAtStop;
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/model/World.java
@@ -0,0 +1,425 @@
+package vetchrill.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import vetchrill.control.Exchange.Outcome;
+import vetchrill.fleet.Fleet;
+import vetchrill.fleet.Fleet.Pool;
+import vetchrill.fleet.Trouble;
+
+/**
+ * A fleet in virtual time: real modules on modelled machines, stubs of declared habits, a roster that lags, and what goes
+ * wrong by a script. One thread plays one world; the same seed gives the same run whatever runs beside it.
+ */
+public final class World {
+    /** An asking of the model, with the core time that it needs wherever it is run. */
+    static final class Drawn extends Asking {
+        final double work;
+        final boolean calls;
+
+        Drawn(int group, int customer, long subject, double kb, int bytes, long from, long until, double work,
+                boolean calls) {
+            super(group, customer, subject, kb, bytes, from, until);
+            this.work = work;
+            this.calls = calls;
+        }
+    }
+
+    final Fleet fleet;
+    final EventQueue events;
+    final SimRelay[] relays;
+    final Tally tally;
+    final Peaks peaks = new Peaks();
+    private final SimStub[] stubs;
+    private final boolean[] listed;
+    private final int[] reported;
+    private final Demand demand;
+    private final SplittableRandom chance;
+    private final long seed;
+    private final long span;
+    private final long countFrom;
+    private long bursts;
+    private double burst = 1;
+    private long allTries;
+    private long goneTries;
+    long denied;
+    private int callsInHand;
+    /** When each batch of the rolling deploy begins, if there is one. */
+    private final List<Long> batches = new ArrayList<>();
+    private long eventsDone;
+
+    /**
+     * {@code span} of new exchanges, in tenths of a millisecond; peaks are counted from {@code countFrom} on. Past the
+     * span the run goes on until all that was asked for has ended.
+     */
+    public World(Fleet fleet, Demand demand, long span, long countFrom, long seed, EventQueue events) {
+        this.fleet = fleet;
+        this.demand = demand;
+        this.span = span;
+        this.countFrom = countFrom;
+        this.seed = seed;
+        this.events = events;
+        chance = new SplittableRandom(seed);
+        tally = new Tally(fleet, span);
+        List<SimRelay> all = new ArrayList<>();
+        SplittableRandom speeds = chance.split();
+        for (int zone = 0; zone < fleet.zones.size(); zone++) {
+            for (Map.Entry<String, Integer> each : fleet.zones.get(zone).relays().entrySet()) {
+                Fleet.Kind kind = fleet.kind(each.getKey());
+                for (int i = 0; i < each.getValue(); i++) {
+                    double speed = Math.max(0.2, 1 + kind.speedSpread() * Demand.Told.gauss(speeds));
+                    all.add(new SimRelay(this, all.size(), zone, kind, speed, fleet.stubs()));
+                }
+            }
+        }
+        relays = all.toArray(new SimRelay[0]);
+        listed = new boolean[relays.length];
+        reported = new int[relays.length];
+        java.util.Arrays.fill(listed, true);
+        Chooser.Roster roster = new Chooser.Roster() {
+            @Override
+            public int size() {
+                return listed.length;
+            }
+
+            @Override
+            public boolean listed(int relay) {
+                return listed[relay];
+            }
+        };
+        stubs = new SimStub[fleet.stubs()];
+        int number = 0;
+        for (Pool pool : fleet.pools) {
+            for (int i = 0; i < pool.count(); i++) {
+                int zone = pool.zone().isEmpty() ? number % fleet.zones.size() : zoneNamed(pool.zone());
+                stubs[number] = new SimStub(this, number, zone, pool, new Chooser(pool, i, roster, reported, chance.split()));
+                number++;
+            }
+        }
+    }
+
+    private int zoneNamed(String name) {
+        for (int i = 0; i < fleet.zones.size(); i++) {
+            if (fleet.zones.get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        return 0;
+    }
+
+    /** Plays the whole span. */
+    public Run run() {
+        for (SimRelay relay : relays) {
+            relay.start(false, 0);
+        }
+        for (Trouble trouble : fleet.troubles) {
+            begin(trouble);
+        }
+        if (demand.peak() > 0) {
+            events.add(nextFirst(0), new First());
+        }
+        if (fleet.pools.stream().anyMatch(pool -> pool.habit() == Fleet.Habit.REPORT)) {
+            events.add(0, new Reports());
+        }
+        at(countFrom, now -> {
+            for (SimRelay relay : relays) {
+                relay.countFromNow(now);
+            }
+        });
+        double[] used = new double[3];
+        at(span, now -> count(now, used));
+        long end = span + fleet.groups.stream().mapToLong(Fleet.Group::asyncTimeout).max().orElse(0) + 10;
+        for (Event event = events.poll(); event != null && event.time <= end; event = events.poll()) {
+            event.happen(event.time);
+            eventsDone++;
+        }
+        return new Run(tally, peaks, List.copyOf(batches), eventsDone);
+    }
+
+    private void count(long now, double[] used) {
+        double counted = Math.max(1, now - countFrom);
+        double arrivals = 0;
+        double most = 0;
+        for (SimRelay relay : relays) {
+            double[] its = relay.counted(now);
+            used[0] += its[0] / counted;
+            peaks.coresOfOne = Math.max(peaks.coresOfOne, its[0] / counted);
+            used[1] += its[1] / counted / relay.kind.cores() / relay.kind.speed();
+            arrivals += relay.arrivals;
+            most = Math.max(most, relay.arrivals);
+        }
+        peaks.cores = used[0] / relays.length;
+        peaks.reading = used[1] / relays.length;
+        peaks.deniedTries = denied / Math.max(1.0, allTries);
+        peaks.unreachable = goneTries / Math.max(1.0, allTries);
+        long choices = 0;
+        long kept = 0;
+        for (SimStub stub : stubs) {
+            choices += stub.chooser.choices;
+            kept += stub.chooser.kept;
+        }
+        peaks.allAway = kept / Math.max(1.0, choices);
+        peaks.hotSpot = arrivals == 0 ? 1 : most * relays.length / arrivals;
+    }
+
+    boolean counts(long now) {
+        return now >= countFrom && now <= span;
+    }
+
+    long seedOf(int relay, int life) {
+        return new SplittableRandom(seed * 31 + relay * 1_000_003L + life).nextLong();
+    }
+
+    long delay(int from, int to) {
+        return from == to ? fleet.network.within() : fleet.network.across();
+    }
+
+    boolean calls(Asking asking) {
+        return ((Drawn) asking).calls;
+    }
+
+    /** An answer, or the end of a connection, on its way to the stub. */
+    void answer(SimRelay relay, SimRelay.Try ex, Asking.Answer answer, long away, boolean giveUp, long now) {
+        events.add(now + delay(ex.stub.zone, relay.zone), new Event() {
+            @Override
+            public void happen(long at) {
+                ex.stub.answered(relay, ex, answer, away, giveUp, at);
+            }
+        });
+    }
+
+    void unreachable(long now) {
+        if (counts(now)) {
+            goneTries++;
+        }
+    }
+
+    /** A way to say what happens at a time. */
+    interface Act {
+        void at(long now);
+    }
+
+    void at(long time, Act act) {
+        events.add(time, new Event() {
+            @Override
+            public void happen(long now) {
+                act.at(now);
+            }
+        });
+    }
+
+    // New exchanges.
+
+    private long nextFirst(long now) {
+        double peak = demand.peak() * Math.max(1, burst);
+        double at = now;
+        do {
+            at -= Math.log(1 - chance.nextDouble()) / peak;
+        } while (at < span && chance.nextDouble() * peak > demand.rate((long) at) * burst);
+        return (long) Math.ceil(at);
+    }
+
+    private final class First extends Event {
+        private final long of = bursts;
+
+        @Override
+        public void happen(long now) {
+            if (now >= span || of != bursts) {
+                return;
+            }
+            int group = demand.group(chance);
+            Fleet.Group told = fleet.groups.get(group);
+            Asking asking = new Drawn(group, demand.customer(chance), demand.subject(chance), demand.kb(group, chance),
+                    demand.bytes(group, chance), now, now + told.asyncTimeout(), demand.work(group, chance),
+                    told.calls() > 0 && chance.nextDouble() < told.calls());
+            tally.asks(asking);
+            stubs[chance.nextInt(stubs.length)].send(asking, now);
+            events.add(nextFirst(now), new First());
+        }
+    }
+
+    /** Another rate from now on; what was drawn for the old one is drawn again. */
+    private void burst(double size, long now) {
+        burst = size;
+        bursts++;
+        if (demand.peak() * burst > 0) {
+            events.add(nextFirst(now), new First());
+        }
+    }
+
+    void tried(long now) {
+        if (counts(now)) {
+            allTries++;
+        }
+    }
+
+    private final class Reports extends Event {
+        private static final long EVERY = 5_000;
+
+        @Override
+        public void happen(long now) {
+            for (SimRelay relay : relays) {
+                reported[relay.number] = relay.up ? relay.queue() : Integer.MAX_VALUE;
+            }
+            if (now < span) {
+                events.add(now + EVERY, new Reports());
+            }
+        }
+    }
+
+    // The roster.
+
+    /** Stubs follow what a relay says of itself after the roster's lag. */
+    void health(SimRelay relay, boolean good) {
+        int life = relay.life;
+        at(events.now() + (events.now() == 0 ? 0 : fleet.roster.lag()), now -> {
+            if (relay.life == life && relay.up) {
+                listed[relay.number] = good;
+            }
+        });
+    }
+
+    /** Nobody says that it is gone: it stays listed until the silence is noticed, unless it is back by then. */
+    private void died(SimRelay relay, long now) {
+        int life = relay.life;
+        at(now + fleet.roster.silent(), then -> {
+            if (relay.life == life) {
+                listed[relay.number] = false;
+            }
+        });
+    }
+
+    // What goes wrong.
+
+    private void begin(Trouble trouble) {
+        if (trouble instanceof Trouble.Burst each) {
+            at(each.from(), now -> burst(each.size(), now));
+            at(each.until(), now -> burst(1, now));
+        } else if (trouble instanceof Trouble.Slow each) {
+            List<SimRelay> drawn = drawn(each.part());
+            at(each.from(), now -> drawn.forEach(relay -> relay.slow(each.size(), now)));
+            at(each.until(), now -> drawn.forEach(relay -> relay.slow(1, now)));
+        } else if (trouble instanceof Trouble.Crash each) {
+            lose(drawn(each.part()), each.from(), each.until());
+        } else if (trouble instanceof Trouble.Lose each) {
+            List<SimRelay> lost = new ArrayList<>();
+            for (SimRelay relay : relays) {
+                if (each.zones().contains(fleet.zones.get(relay.zone).name())) {
+                    lost.add(relay);
+                }
+            }
+            lose(lost, each.from(), each.until());
+        } else if (trouble instanceof Trouble.Roll each) {
+            roll(each.from());
+        }
+    }
+
+    private List<SimRelay> drawn(double part) {
+        List<SimRelay> left = new ArrayList<>(List.of(relays));
+        List<SimRelay> drawn = new ArrayList<>();
+        SplittableRandom draws = new SplittableRandom(seed + 77);
+        for (long n = Math.round(part * relays.length); n > 0; n--) {
+            drawn.add(left.remove(draws.nextInt(left.size())));
+        }
+        return drawn;
+    }
+
+    private void lose(List<SimRelay> lost, long from, long until) {
+        at(from, now -> {
+            for (SimRelay relay : lost) {
+                if (relay.up) {
+                    relay.die(now);
+                    died(relay, now);
+                }
+                relay.gone = true;
+            }
+        });
+        if (until < Long.MAX_VALUE) {
+            at(until, now -> {
+                for (SimRelay relay : lost) {
+                    relay.gone = false;
+                    if (!relay.up) {
+                        relay.start(true, now);
+                    }
+                }
+            });
+        }
+    }
+
+    /** It died of its own load: it is started again, cold, after a while. */
+    void fall(SimRelay relay, long now) {
+        relay.die(now);
+        died(relay, now);
+        startLater(relay, now + fleet.rules.restart());
+    }
+
+    private void startLater(SimRelay relay, long time) {
+        int life = relay.life;
+        at(time, now -> {
+            if (relay.life == life && !relay.up && !relay.gone) {
+                relay.start(true, now);
+            }
+        });
+    }
+
+    private void roll(long from) {
+        List<SimRelay> order = new ArrayList<>(List.of(relays));
+        if (fleet.deploy.spread()) {
+            // One of each zone in turn, as far as there are any left.
+            int[] seen = new int[fleet.zones.size()];
+            int[] rank = new int[relays.length];
+            for (SimRelay relay : relays) {
+                rank[relay.number] = seen[relay.zone]++;
+            }
+            order.sort((a, b) -> rank[a.number] != rank[b.number] ? rank[a.number] - rank[b.number] : a.zone - b.zone);
+        }
+        int size = Math.max(1, (int) Math.round(fleet.deploy.batch() * relays.length));
+        long period = fleet.rules.stop() + fleet.deploy.start() + fleet.deploy.gap();
+        for (int i = 0; i * size < order.size(); i++) {
+            List<SimRelay> batch = order.subList(i * size, Math.min(order.size(), (i + 1) * size));
+            long begins = from + i * period;
+            batches.add(begins);
+            for (SimRelay relay : batch) {
+                at(begins, now -> replace(relay, now));
+            }
+        }
+    }
+
+    private void replace(SimRelay relay, long now) {
+        if (!relay.up) {
+            return;
+        }
+        long stopAt = now + fleet.rules.stop();
+        int life = relay.life;
+        relay.leave(stopAt, now);
+        at(stopAt, then -> {
+            if (relay.life == life) {
+                peaks.lostAtStop += relay.stop(then);
+                startLater(relay, then + fleet.deploy.start());
+            }
+        });
+    }
+
+    // The tier below.
+
+    void call(SimRelay relay, SimRelay.Try ex, long until) {
+        long now = events.now();
+        if (fleet.tier == null || callsInHand >= fleet.tier.slots()) {
+            at(now + fleet.network.within(), then -> relay.callEnded(ex, Outcome.FULL, then - now, then));
+            return;
+        }
+        callsInHand++;
+        if (counts(now)) {
+            peaks.tier = Math.max(peaks.tier, callsInHand / (double) fleet.tier.slots());
+        }
+        double variance = Math.log(1 + fleet.tier.workSpread() * fleet.tier.workSpread());
+        long takes = Math.max(1, Math.round(fleet.tier.work()
+                * Math.exp(Math.sqrt(variance) * Demand.Told.gauss(chance) - variance / 2)));
+        at(now + takes, then -> callsInHand--);
+        boolean inTime = now + takes <= until;
+        at(inTime ? now + takes : until,
+                then -> relay.callEnded(ex, inTime ? Outcome.COMPLETED : Outcome.GIVEN_UP, then - now, then));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/planner/Sample.java
@@ -0,0 +1,75 @@
+package vetchrill.planner;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+
+/** Values seen, and what can be said of their mean and spread. */
+final class Sample {
+    private static final int RESAMPLED = 200;
+    private static final int ENOUGH = 4_000;
+
+    private double[] values = new double[64];
+    private int count;
+
+    void add(double value) {
+        if (count == values.length) {
+            values = Arrays.copyOf(values, 2 * count);
+        }
+        values[count++] = value;
+    }
+
+    int count() {
+        return count;
+    }
+
+    double mean() {
+        double sum = 0;
+        for (int i = 0; i < count; i++) {
+            sum += values[i];
+        }
+        return count == 0 ? Double.NaN : sum / count;
+    }
+
+    double variance() {
+        double mean = mean();
+        double sum = 0;
+        for (int i = 0; i < count; i++) {
+            sum += (values[i] - mean) * (values[i] - mean);
+        }
+        return count < 2 ? 0 : sum / (count - 1);
+    }
+
+    /** The spread for the mean. */
+    double spread() {
+        return Math.sqrt(variance()) / mean();
+    }
+
+    /** Where the mean lies nine times of ten, by drawing again from what was seen. */
+    double[] meanInterval(SplittableRandom chance) {
+        if (count < 2) {
+            return new double[] {mean(), mean()};
+        }
+        double[] means = new double[RESAMPLED];
+        int draws = Math.min(count, ENOUGH);
+        double narrower = Math.sqrt(draws / (double) count);
+        for (int i = 0; i < RESAMPLED; i++) {
+            double sum = 0;
+            for (int j = 0; j < draws; j++) {
+                sum += values[chance.nextInt(count)];
+            }
+            means[i] = mean() + (sum / draws - mean()) * narrower;
+        }
+        Arrays.sort(means);
+        return new double[] {means[RESAMPLED / 20], means[RESAMPLED - RESAMPLED / 20 - 1]};
+    }
+
+    double draw(SplittableRandom chance) {
+        return values[chance.nextInt(count)];
+    }
+
+    double quantile(double part) {
+        double[] sorted = Arrays.copyOf(values, count);
+        Arrays.sort(sorted);
+        return count == 0 ? Double.NaN : sorted[(int) Math.min(count - 1, part * count)];
+    }
+}
