bin/vetchrill: one command line; a rig of real instances holds the plan against what clients counted

Change: picocli over instance and tools, structured log lines, stand-ins for interpreter, membership and stubs, captures switched on by an operator's file, and prove, which plays, captures, fits and compares.

--- a/lab/src/main/java/vetchrill/fleet/FleetFile.java
+++ b/lab/src/main/java/vetchrill/fleet/FleetFile.java
@@ -190,7 +190,9 @@
                 case "slow" -> troubles.add(new Trouble.Slow(from, until, block.number("part", 0, 1),
                         block.number("size", 1, 1_000)));
                 case "crash" -> troubles.add(new Trouble.Crash(from, until, block.number("part", 0, 1)));
-                default -> block.mistake("trouble", "'" + block.label() + "' should be one of burst, slow, crash");
+                case "reset" -> troubles.add(new Trouble.Reset(from, until, time(block, "every_ms", 1, DAY_MS, 200)));
+                default -> block.mistake("trouble", "'" + block.label()
+                        + "' should be one of burst, slow, crash, reset");
             }
         }
         return troubles;
--- a/lab/src/main/java/vetchrill/fleet/Trouble.java
+++ b/lab/src/main/java/vetchrill/fleet/Trouble.java
@@ -25,6 +25,10 @@
     record Lose(long from, long until, Set<String> zones) implements Trouble {
     }
 
+    /** Every {@code every}, all connections between one stub and one relay, drawn by the seed, are reset. */
+    record Reset(long from, long until, long every) implements Trouble {
+    }
+
     /** A rolling deploy of the whole fleet begins; it lasts as long as its batches take. */
     record Roll(long from) implements Trouble {
         @Override
--- a/lab/src/main/java/vetchrill/model/SimRelay.java
+++ b/lab/src/main/java/vetchrill/model/SimRelay.java
@@ -30,6 +30,8 @@
         long begunAt;
         double booked;
         boolean completed;
+        /** It was read, so that the module knows of it. */
+        boolean heard;
         /** Repeats that wait for its end. */
         List<Try> repeats;
 
@@ -152,6 +154,26 @@
         }
     }
 
+    /** What is open from one stub loses its connection, and its callers with it. */
+    void reset(int stub, long now) {
+        if (!up) {
+            return;
+        }
+        for (Try each : List.copyOf(open)) {
+            if (each.stub.number == stub) {
+                answered(each, Asking.Answer.RESET, 0, false, now);
+                if (each.heard) {
+                    controller.callerLeft(each, now);
+                }
+            }
+        }
+        if (lastUsed[stub] != Long.MIN_VALUE) {
+            lastUsed[stub] = Long.MIN_VALUE;
+            connections--;
+        }
+        decide(now);
+    }
+
     /** The notice to leave; the process ends {@code stop} later, answered or not. */
     void leave(long stopAt, long now) {
         leaving = true;
@@ -248,6 +270,11 @@
 
     /** Only what has been read is held by the program, and booked. */
     private void read(Try ex, long now) {
+        if (ex.at < 0) {
+            // Its connection was reset while it was read: the bytes belong to nobody any more.
+            return;
+        }
+        ex.heard = true;
         ex.booked = ex.kb;
         memoryKb += ex.booked;
         if (ex.group.effect == EndpointGroup.Effect.DEDUPLICATED) {
--- a/lab/src/main/java/vetchrill/model/World.java
+++ b/lab/src/main/java/vetchrill/model/World.java
@@ -311,11 +311,20 @@
                 }
             }
             lose(lost, each.from(), each.until());
+        } else if (trouble instanceof Trouble.Reset each) {
+            at(each.from(), now -> reset(each, new SplittableRandom(seed + 78), now));
         } else if (trouble instanceof Trouble.Roll each) {
             roll(each.from());
         }
     }
 
+    private void reset(Trouble.Reset trouble, SplittableRandom draws, long now) {
+        if (now < trouble.until()) {
+            relays[draws.nextInt(relays.length)].reset(draws.nextInt(stubs.length), now);
+            at(now + trouble.every(), then -> reset(trouble, draws, then));
+        }
+    }
+
     private List<SimRelay> drawn(double part) {
         List<SimRelay> left = new ArrayList<>(List.of(relays));
         List<SimRelay> drawn = new ArrayList<>();
--- a/lab/src/main/java/vetchrill/planner/Fit.java
+++ b/lab/src/main/java/vetchrill/planner/Fit.java
@@ -88,6 +88,11 @@
         asked();
     }
 
+    /** The captured demand with {@code factor} times as many first tries. */
+    public Demand times(double factor) {
+        return ((Captured) demand).times(factor);
+    }
+
     private static Sample[] samples(int n) {
         Sample[] samples = new Sample[n];
         for (int i = 0; i < n; i++) {
--- /dev/null
+++ b/lab/src/main/java/vetchrill/standin/StubFrames.java
@@ -0,0 +1,91 @@
+package vetchrill.standin;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Frames as a client stub writes and reads them, written apart from the program's own parsers. */
+public final class StubFrames {
+    public static final int EXCHANGE = 2;
+    public static final int ANSWER = 4;
+    public static final int CHECK = 16;
+    public static final int NOTHING_NEW = 64;
+    public static final int COMPLETED = 79;
+    public static final int DENIED = 66;
+    public static final int TERMINATED = 69;
+
+    /** A frame that was read; the fields of an answer are told apart from its body. */
+    public record Frame(int type, int stream, int code, Map<String, String> fields, byte[] body) {
+    }
+
+    private StubFrames() {
+    }
+
+    public static byte[] frame(int type, int stream, byte[] payload) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(payload.length + 9);
+        DataOutputStream data = new DataOutputStream(bytes);
+        try {
+            data.writeInt(5 + payload.length);
+            data.writeByte(type);
+            data.writeInt(stream);
+            data.write(payload);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Fields given as name, value, name, value. */
+    public static byte[] payload(byte[] body, String... fields) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream data = new DataOutputStream(bytes);
+        try {
+            data.writeByte(fields.length / 2);
+            for (int i = 0; i < fields.length; i += 2) {
+                data.writeByte(fields[i].length());
+                data.writeBytes(fields[i]);
+                data.writeShort(fields[i + 1].length());
+                data.writeBytes(fields[i + 1]);
+            }
+            data.write(body);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** The next frame, or null at the end of the connection. */
+    public static Frame read(DataInputStream in) throws IOException {
+        int length;
+        try {
+            length = in.readInt();
+        } catch (EOFException | SocketException e) {
+            return null;
+        }
+        int type = in.readUnsignedByte();
+        int stream = in.readInt();
+        byte[] rest = in.readNBytes(length - 5);
+        if (rest.length < length - 5) {
+            return null;
+        }
+        Map<String, String> fields = new HashMap<>();
+        int code = rest.length == 0 ? 0 : rest[0] & 0xff;
+        int at = 2;
+        for (int i = 0; rest.length > 1 && i < (rest[1] & 0xff); i++) {
+            int size = rest[at] & 0xff;
+            String name = new String(rest, at + 1, size, StandardCharsets.ISO_8859_1);
+            at += 1 + size;
+            int valueSize = (rest[at] & 0xff) << 8 | rest[at + 1] & 0xff;
+            fields.put(name, new String(rest, at + 2, valueSize, StandardCharsets.ISO_8859_1));
+            at += 2 + valueSize;
+        }
+        return new Frame(type, stream, code, fields,
+                rest.length <= at ? new byte[0] : java.util.Arrays.copyOfRange(rest, at, rest.length));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/tool/BadUse.java
@@ -0,0 +1,10 @@
+package vetchrill.tool;
+
+/** What was asked for can't be done as it was asked; the message says what is allowed. */
+final class BadUse extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    BadUse(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/tool/ProveCommand.java
@@ -0,0 +1,205 @@
+package vetchrill.tool;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import vetchrill.capture.Capture;
+import vetchrill.capture.Merged;
+import vetchrill.fleet.Fleet;
+import vetchrill.fleet.Fleet.Group;
+import vetchrill.fleet.Fleet.Kind;
+import vetchrill.fleet.Fleet.Load;
+import vetchrill.fleet.Fleet.Pool;
+import vetchrill.fleet.Fleet.Retry;
+import vetchrill.fleet.Fleet.Subjects;
+import vetchrill.fleet.FleetFile;
+import vetchrill.fleet.Trouble;
+import vetchrill.model.Demand;
+import vetchrill.planner.Fit;
+import vetchrill.planner.Spread;
+import vetchrill.planner.Sweep;
+import vetchrill.standin.Played;
+import vetchrill.standin.Rig;
+
+@Command(name = "prove", mixinStandardHelpOptions = true,
+        description = "Play real instances on loopback, capture them, and hold what the planner says of them against what "
+                + "their clients counted.")
+final class ProveCommand implements Callable<Integer> {
+    private static final System.Logger LOG = System.getLogger("vetchrill.prove");
+
+    @Parameters(paramLabel = "FLEET", description = "The fleet to play, with all that the planner is then not told.")
+    private Path file;
+
+    @Option(names = "--seeds", defaultValue = "3", description = "Runs of each case (${DEFAULT-VALUE}).")
+    private int seeds;
+
+    @Option(names = "--first-seed", defaultValue = "1", description = "The first of the seeds (${DEFAULT-VALUE}).")
+    private int firstSeed;
+
+    @Option(names = "--seconds", defaultValue = "14", description = "Load in each run (${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Option(names = "--case", description = "Only cases whose name has this in it.")
+    private String only;
+
+    @Option(names = "--folder", defaultValue = "lab/target/prove", description = "Where runs leave their files.")
+    private Path folder;
+
+    @Option(names = "--threads", description = "Worlds played at once; all cores where not given.")
+    private int threads = Runtime.getRuntime().availableProcessors();
+
+    private record Case(String name, double load, Retry retry, List<Trouble> troubles) {
+    }
+
+    private record Outcome(Case of, int seed, Played played, Fit fit, double truth) {
+    }
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Fleet world = FleetFile.read(file);
+        if (!world.wanting().isEmpty()) {
+            throw new BadUse(file + ": to be played it must tell " + String.join(", ", world.wanting()));
+        }
+        List<Outcome> outcomes = new ArrayList<>();
+        int misses = 0;
+        double worst = 0;
+        double sum = 0;
+        double worstCross = 0;
+        double sumCross = 0;
+        int cross = 0;
+        double worstTries = 0;
+        System.out.printf("%-28s %4s %7s %7s %7s %6s %7s %7s %7s %7s %6s%n", "case", "seed", "asked/s", "service",
+                "planned", "error", "other", "error", "tries", "found", "late");
+        try (Sweep sweep = new Sweep(threads, 8, seconds * 10_000L, 20_000, () -> { })) {
+            for (Case each : cases(world)) {
+                if (only != null && !each.name.contains(only)) {
+                    continue;
+                }
+                for (int seed = firstSeed; seed < firstSeed + seeds; seed++) {
+                    Outcome outcome = play(world, each, seed);
+                    if (outcome == null) {
+                        misses++;
+                        continue;
+                    }
+                    outcomes.add(outcome);
+                    Fleet fitted = outcome.fit.fleet;
+                    Spread planned = sweep.service(sweep.runs(with(fitted, each), outcome.fit.demand));
+                    double error = 100 * (planned.mean() - outcome.truth);
+                    worst = Math.max(worst, Math.abs(error));
+                    sum += Math.abs(error);
+                    // A plan made from another load: the first case of the same seed is all that it has seen.
+                    Outcome other = outcomes.stream().filter(o -> o.of.name.startsWith("95") && o.seed == outcome.seed)
+                            .findFirst().orElse(null);
+                    String crossed = "      -       -";
+                    if (other != null && other != outcome) {
+                        Demand demand = other.fit.times(each.load / other.of.load);
+                        Spread there = sweep.service(sweep.runs(with(other.fit.fleet, each), demand));
+                        double off = 100 * (there.mean() - outcome.truth);
+                        worstCross = Math.max(worstCross, Math.abs(off));
+                        sumCross += Math.abs(off);
+                        cross++;
+                        crossed = String.format("%7.3f %+7.1f", there.mean(), off);
+                    }
+                    double[] tries = tries(outcome);
+                    worstTries = Math.max(worstTries, Math.abs(tries[1] / tries[0] - 1));
+                    System.out.printf("%-28s %4d %7.1f %7.3f %7.3f %+6.1f %s %7.2f %7.2f %6.1f%n", each.name, seed,
+                            world.fullLoad() * each.load, outcome.truth, planned.mean(), error, crossed, tries[0],
+                            tries[1], outcome.played.late() / 10.0);
+                    System.out.flush();
+                }
+            }
+        }
+        System.out.printf("runs that were void and are not in the table: %d%n", misses);
+        System.out.printf("proof: runs=%d worst_error_points=%.1f mean_error_points=%.1f other_load_worst_points=%.1f "
+                + "other_load_mean_points=%.1f further_tries_worst_error=%.3f%n", outcomes.size(), worst,
+                sum / Math.max(1, outcomes.size()), worstCross, sumCross / Math.max(1, cross), worstTries);
+        return misses == 0 && !outcomes.isEmpty() ? 0 : 1;
+    }
+
+    private List<Case> cases(Fleet world) {
+        Set<String> zone = Set.of(world.zones.get(world.zones.size() / 2).name());
+        long lost = 50_000;
+        List<Case> cases = new ArrayList<>();
+        for (Retry retry : List.of(Retry.LIMITED, Retry.UNLIMITED)) {
+            String says = retry == Retry.UNLIMITED ? ", retries without limit" : "";
+            for (int load : new int[] {95, 70, 110, 130}) {
+                cases.add(new Case(load + "%" + says, load / 100.0, retry, List.of()));
+            }
+            cases.add(new Case("80%, zone lost" + says, 0.8, retry,
+                    List.of(new Trouble.Lose(lost, Long.MAX_VALUE, zone))));
+            cases.add(new Case("70%, zone lost in deploy" + says, 0.7, retry,
+                    List.of(new Trouble.Roll(25_000), new Trouble.Lose(lost, Long.MAX_VALUE, zone))));
+        }
+        return cases;
+    }
+
+    /** The fleet with this case's habits and troubles; what was fitted stays. */
+    private static Fleet with(Fleet fleet, Case each) {
+        List<Pool> pools = new ArrayList<>();
+        for (Pool pool : fleet.pools) {
+            pools.add(new Pool(pool.name(), pool.count(), pool.habit(), each.retry, pool.tries(), pool.pause(),
+                    pool.tryTimeout(), pool.heed(), pool.zone()));
+        }
+        return fleet.withPools(pools).withTroubles(each.troubles);
+    }
+
+    /** What a planner is given: no work, no reading, no shares, no load; those it has to find in the capture. */
+    private static Fleet without(Fleet fleet) {
+        List<Kind> kinds = fleet.kinds.stream().map(kind -> new Kind(kind.name(), kind.cores(), kind.speed(),
+                kind.speedSpread(), Double.NaN, Double.NaN, Double.NaN, kind.memoryKb(), kind.table(), kind.tableTax(),
+                kind.connect(), kind.descriptors(), kind.coldShare(), kind.warmUp(), kind.price())).toList();
+        List<Group> groups = fleet.groups.stream().map(group -> new Group(group.name(), group.effect(), group.sloTime(),
+                group.asyncTimeout(), group.benefit(), group.lateShare(), Double.NaN, Double.NaN, Double.NaN, Double.NaN,
+                64, group.calls(), group.withoutCall())).toList();
+        return fleet.fitted(kinds, groups, new Load(Double.NaN, 0, fleet.load.period()), new Subjects(-1, Double.NaN));
+    }
+
+    /** Null where the run was void: the load itself was late, or a promise was broken, which ends the whole. */
+    private Outcome play(Fleet world, Case each, int seed) throws IOException, InterruptedException {
+        Path run = folder.resolve(each.name.replaceAll("[^0-9a-z]+", "-") + "-" + seed);
+        empty(run);
+        Fleet playing = with(world.withLoad(world.fullLoad() * each.load), each);
+        Played played;
+        try (Rig rig = new Rig(playing, new Demand.Told(playing), seconds * 10_000L, seed, run, true)) {
+            played = rig.play();
+        }
+        if (played.wrongResults() + played.doubleRuns() + played.changedBodies() > 0) {
+            throw new BadUse("a rule was broken in " + run + ": " + played.wrongResults() + " wrong results, "
+                    + played.doubleRuns() + " double runs, " + played.changedBodies() + " changed bodies");
+        }
+        if (played.invalid()) {
+            LOG.log(System.Logger.Level.WARNING, "the load was late itself", ToolLog.field("case", each.name),
+                    ToolLog.field("late_ms", played.late() / 10.0));
+            return null;
+        }
+        Fit fit = new Fit(without(with(world, each)), Capture.readAll(played.captures()));
+        return new Outcome(each, seed, played, fit, played.tally().service(2, seconds));
+    }
+
+    /** All tries for each first one that came to a relay: as the clients know it, and as the rows were read. */
+    private static double[] tries(Outcome outcome) {
+        long first = outcome.played.arrived().stream().filter(Rig.Arrived::first).count();
+        Merged merged = outcome.fit.merged;
+        return new double[] {outcome.played.arrived().size() / Math.max(1.0, first),
+            merged.rows / merged.firstTries()};
+    }
+
+    private static void empty(Path folder) throws IOException {
+        if (Files.exists(folder)) {
+            try (var all = Files.walk(folder)) {
+                for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(each);
+                }
+            }
+        }
+        Files.createDirectories(folder);
+    }
+}
