Plans: limits, sizes and losses; the fit reads crowding by readings and replays first tries

Change: readings by their middle, lives that began under way left out, the program's own latency told apart, clocks set right on sharp evidence only, first tries replayed one by one.

--- a/lab/src/main/java/vetchrill/capture/Capture.java
+++ b/lab/src/main/java/vetchrill/capture/Capture.java
@@ -24,6 +24,8 @@
     public final String name;
     public final String zone;
     public final String kind;
+    /** When its process started, in tenths of a millisecond of Unix time. */
+    public final long started;
     /** What the relay was told of its deployment. */
     public final DeploymentReader facts;
     /** It was ended in its order; else it is read up to its last whole part. */
@@ -61,6 +63,11 @@
         name = needed(provenance, "name");
         zone = needed(provenance, "zone");
         kind = needed(provenance, "kind");
+        try {
+            started = 10 * Long.parseLong(needed(provenance, "started"));
+        } catch (NumberFormatException e) {
+            throw new CaptureFault(file + ": its start is no time");
+        }
         try {
             facts = new DeploymentReader(needed(provenance, "settings"));
         } catch (IllegalArgumentException e) {
--- a/lab/src/main/java/vetchrill/capture/Clocks.java
+++ b/lab/src/main/java/vetchrill/capture/Clocks.java
@@ -67,33 +67,36 @@
         long[][][] gaps = new long[n][n][0];
         int[][] counts = new int[n][n];
         for (List<Row> rows : alike.values()) {
-            // Many rows that look alike tell little: a subject that everybody asks for with bodies of one size.
-            if (rows.size() < 2 || rows.size() > 12) {
+            // One that was denied here and completed there: which came first is known whatever the clocks say. Where
+            // there are more, any of them may have come before any other.
+            if (rows.size() != 2) {
                 continue;
             }
-            for (Row a : rows) {
-                Capture from = captures.get(a.capture);
-                if (from.answer[a.row] != Recorder.DENIED) {
-                    continue;
-                }
-                for (Row b : rows) {
-                    long gap = captures.get(b.capture).arrived[b.row] - from.answered[a.row];
-                    if (a.capture != b.capture && Math.abs(gap) < FARTHEST) {
-                        long[] all = gaps[a.capture][b.capture];
-                        int count = counts[a.capture][b.capture]++;
-                        if (count == all.length) {
-                            all = Arrays.copyOf(all, Math.max(16, 2 * count));
-                            gaps[a.capture][b.capture] = all;
-                        }
-                        all[count] = gap;
-                    }
+            Row a = answer(captures, rows.get(0)) == Recorder.DENIED ? rows.get(0) : rows.get(1);
+            Row b = a == rows.get(0) ? rows.get(1) : rows.get(0);
+            if (a.capture == b.capture || answer(captures, a) != Recorder.DENIED
+                    || answer(captures, b) != Recorder.COMPLETED) {
+                continue;
+            }
+            long gap = captures.get(b.capture).arrived[b.row] - captures.get(a.capture).answered[a.row];
+            if (Math.abs(gap) < FARTHEST) {
+                long[] all = gaps[a.capture][b.capture];
+                int count = counts[a.capture][b.capture]++;
+                if (count == all.length) {
+                    all = Arrays.copyOf(all, Math.max(16, 2 * count));
+                    gaps[a.capture][b.capture] = all;
                 }
+                all[count] = gap;
             }
         }
         clocks.solve(gaps, counts);
         return clocks;
     }
 
+    private static byte answer(List<Capture> captures, Row row) {
+        return captures.get(row.capture).answer[row.row];
+    }
+
     private void solve(long[][][] gaps, int[][] counts) {
         int n = offset.length;
         double[][] differences = new double[n][n];
@@ -102,7 +105,7 @@
             for (int b = a + 1; b < n; b++) {
                 long[] there = densest(gaps[a][b], counts[a][b]);
                 long[] back = densest(gaps[b][a], counts[b][a]);
-                if (there[1] >= ENOUGH && back[1] >= ENOUGH) {
+                if (sharp(there, counts[a][b]) && sharp(back, counts[b][a])) {
                     differences[a][b] = (there[0] - back[0]) / 2.0;
                     differences[b][a] = -differences[a][b];
                     weight[a][b] = (int) Math.min(there[1], back[1]);
@@ -144,7 +147,12 @@
         }
     }
 
-    /** The middle of the narrow span that holds most, and how many it holds beyond what chance would put there. */
+    /** Enough of them agree, and most of them do: else their pauses vary, and tell nothing of the clocks. */
+    private static boolean sharp(long[] found, int of) {
+        return found[1] >= ENOUGH && 2 * found[1] > of;
+    }
+
+    /** The middle of the narrow span that holds most, and how many it holds. */
     private static long[] densest(long[] gaps, int count) {
         long[] sorted = Arrays.copyOf(gaps, count);
         Arrays.sort(sorted);
--- a/lab/src/main/java/vetchrill/model/Demand.java
+++ b/lab/src/main/java/vetchrill/model/Demand.java
@@ -25,6 +25,18 @@
 
     int bytes(int group, SplittableRandom chance);
 
+    /**
+     * First tries one by one, in the order of their times, where they are known and not drawn; else null. {@code stub} is
+     * the number of the stub that they came from; {@code work} is NaN where it has to be drawn.
+     */
+    default java.util.List<Known> known() {
+        return null;
+    }
+
+    /** One first try that is known. */
+    record Known(long at, int stub, int group, int customer, long subject, double kb, int bytes, double work) {
+    }
+
     /** What the fleet file says: a wave round a mean, works drawn from a lognormal, subjects by Zipf's law. */
     final class Told implements Demand {
         /** Subjects past so many are drawn alike: the tail of the law, where each is rare. */
--- a/lab/src/main/java/vetchrill/model/World.java
+++ b/lab/src/main/java/vetchrill/model/World.java
@@ -36,6 +36,8 @@
     private final boolean[] listed;
     private final int[] reported;
     private final Demand demand;
+    /** Null where first tries are drawn. */
+    private List<Demand.Known> known;
     private final SplittableRandom chance;
     private final long seed;
     private final long span;
@@ -117,7 +119,12 @@
         for (Trouble trouble : fleet.troubles) {
             begin(trouble);
         }
-        if (demand.peak() > 0) {
+        if (demand.known() != null) {
+            known = demand.known();
+            if (!known.isEmpty()) {
+                events.add(known.get(0).at(), new KnownFirst(0));
+            }
+        } else if (demand.peak() > 0) {
             events.add(nextFirst(0), new First());
         }
         if (fleet.pools.stream().anyMatch(pool -> pool.habit() == Fleet.Habit.REPORT)) {
@@ -240,11 +247,40 @@
         }
     }
 
+    /** One that is known, and after it the next; a burst sends some of them more than once, or leaves some out. */
+    private final class KnownFirst extends Event {
+        private final int place;
+
+        KnownFirst(int place) {
+            this.place = place;
+        }
+
+        @Override
+        public void happen(long now) {
+            if (now >= span) {
+                return;
+            }
+            Demand.Known first = known.get(place);
+            for (double left = burst; left > 0 && chance.nextDouble() < left; left--) {
+                Fleet.Group told = fleet.groups.get(first.group());
+                double work = Double.isNaN(first.work()) ? demand.work(first.group(), chance) : first.work();
+                Asking asking = new Drawn(first.group(), first.customer(), first.subject(), first.kb(), first.bytes(), now,
+                        now + told.asyncTimeout(), work, told.calls() > 0 && chance.nextDouble() < told.calls());
+                tally.asks(asking);
+                int stub = first.stub() >= 0 && first.stub() < stubs.length ? first.stub() : chance.nextInt(stubs.length);
+                stubs[stub].send(asking, now);
+            }
+            if (place + 1 < known.size()) {
+                events.add(known.get(place + 1).at(), new KnownFirst(place + 1));
+            }
+        }
+    }
+
     /** Another rate from now on; what was drawn for the old one is drawn again. */
     private void burst(double size, long now) {
         burst = size;
         bursts++;
-        if (demand.peak() * burst > 0) {
+        if (known == null && demand.peak() * burst > 0) {
             events.add(nextFirst(now), new First());
         }
     }
--- a/lab/src/main/java/vetchrill/planner/Attained.java
+++ b/lab/src/main/java/vetchrill/planner/Attained.java
@@ -13,20 +13,23 @@
     /** Ends of intervals by time, begins and ends of one time apart; the sign of an entry tells which. */
     private final long[] times;
     private final byte[] signs;
+    private final long latency;
     private final int cores;
     private final double speed;
     private final int[] wanted;
     private final double[] given;
 
-    Attained(Capture capture, Kind kind) {
+    /** {@code latency} is the part of each reading in which it waited for the program and not for a core. */
+    Attained(Capture capture, Kind kind, long latency) {
+        this.latency = latency;
         cores = kind.cores();
         speed = kind.speed();
         int n = 0;
         long[] keys = new long[4 * capture.rows];
         for (int i = 0; i < capture.rows; i++) {
-            if (capture.heard[i] > capture.arrived[i]) {
+            if (wasRead(capture, i)) {
                 keys[n++] = capture.arrived[i] << 1 | 1;
-                keys[n++] = capture.heard[i] << 1;
+                keys[n++] = capture.heard[i] - latency << 1;
             }
             if (ran(capture, i)) {
                 keys[n++] = capture.begun[i] << 1 | 1;
@@ -49,6 +52,18 @@
         }
     }
 
+    boolean wasRead(Capture capture, int row) {
+        return capture.heard[row] - latency > capture.arrived[row];
+    }
+
+    double reading(Capture capture, int row) {
+        return between(capture.arrived[row], capture.heard[row] - latency);
+    }
+
+    double run(Capture capture, int row) {
+        return between(capture.begun[row], capture.begun[row] + capture.took[row]);
+    }
+
     static boolean ran(Capture capture, int row) {
         return capture.begun[row] > 0 && capture.took[row] > 0;
     }
@@ -65,7 +80,7 @@
     }
 
     /** Core time that a job present from one time to another got, both ends of intervals told at the start. */
-    double between(long from, long to) {
+    private double between(long from, long to) {
         return given[at(to)] - given[at(from)];
     }
 
--- a/lab/src/main/java/vetchrill/planner/Fit.java
+++ b/lab/src/main/java/vetchrill/planner/Fit.java
@@ -24,13 +24,25 @@
 public final class Fit {
     private static final double[] FROM = {1, 1.25, 1.5, 2, 2.5, 3, 4, 6};
     private static final double[] LOSS = {0, 0.02, 0.05, 0.08, 0.12, 0.16, 0.2, 0.3, 0.4, 0.6};
-    private static final int BINS = 6;
+    /** Latencies that a program may have of its own, in tenths of a millisecond. */
+    private static final long[] LATENCY = {0, 5, 10, 20, 40};
+    /** More rows than this make a curve no better. */
+    private static final int CURVE_ROWS = 60_000;
+    /** As many must have come to a crowd before a curve is read from them. */
+    private static final int CROWD_ROWS = 60;
+    /** A difference in fit that chance may well make. */
+    private static final double ABOUT_AS_WELL = 2;
+    /** Starts further apart than this are not those of one start of the fleet, in tenths of a millisecond. */
+    private static final long COLD_APART = 30_000;
+    private static final int BINS = 20;
+    /** Differences between bins that are of no account. */
+    private static final double UNEVEN = 0.03;
     /** Fewer rows than this in a bin say nothing of it. */
     private static final int BIN_ROWS = 15;
     /** A relay whose works are this much off those of the others is slow, cold or of another speed. */
     private static final double OFF = 1.25;
-    /** Jobs for each core that must have been seen before a crowding curve is read from a capture. */
-    private static final double CROWD_SEEN = 1.6;
+    /** Jobs for each core from which on a relay counts as crowded. */
+    private static final double CROWD_SEEN = 3;
     /** Runs and readings of one relay that its speed is judged by at least. */
     private static final int JUDGED = 30;
 
@@ -41,9 +53,11 @@
     public final List<String> remarks = new ArrayList<>();
     /** All tries for each first one, as estimated from the rows. */
     public final double inflation;
+    private final List<Demand.Known> known;
     private final Fleet told;
     private final SplittableRandom chance = new SplittableRandom(16);
     private final List<Kind> kinds = new ArrayList<>();
+    private final Map<String, Curve> curves = new HashMap<>();
     private final Sample[] works;
     private final Sample[] sizes;
     private final Sample[] memories;
@@ -85,6 +99,7 @@
             throw new CaptureFault("neither the captures nor the fleet file tell: " + String.join(", ", wanting));
         }
         demand = new Captured(fleet, merged, groupOf, profile, works, sizes, memories);
+        known = firsts(groupOf);
         asked();
     }
 
@@ -93,6 +108,38 @@
         return ((Captured) demand).times(factor);
     }
 
+    /**
+     * The captured first tries one by one, as they came, for a plan of the very time that was captured; what was never run
+     * has its work drawn. {@link #demand} has their shape only, and is for any other time.
+     */
+    public Demand replay() {
+        return new Replay((Captured) demand, known);
+    }
+
+    private List<Demand.Known> firsts(int[] groupOf) {
+        Map<String, Attained> attained = new HashMap<>();
+        List<Demand.Known> known = new ArrayList<>();
+        for (int i = 0; i < merged.rows; i++) {
+            if (merged.further[i]) {
+                continue;
+            }
+            Capture capture = merged.captures.get(merged.capture[i]);
+            int row = merged.row[i];
+            double work = Double.NaN;
+            if (Attained.ran(capture, row)) {
+                Attained of = attained.computeIfAbsent(capture.file.toString(), key -> {
+                    Kind kind = told.kind(capture.kind);
+                    return curves.get(kind.name()).applied(List.of(capture), kind).get(0);
+                });
+                work = Math.max(1, of.run(capture, row));
+            }
+            int stub = (int) Math.min(Integer.MAX_VALUE, capture.stub[row]);
+            known.add(new Demand.Known(merged.arrived[i] - merged.from, stub, groupOf[capture.group[row]],
+                    capture.customer[row], capture.subject[row], capture.kb[row], capture.bytes[row], work));
+        }
+        return known;
+    }
+
     private static Sample[] samples(int n) {
         Sample[] samples = new Sample[n];
         for (int i = 0; i < n; i++) {
@@ -158,131 +205,176 @@
                 }
                 continue;
             }
-            List<Attained> attained = its.stream().map(each -> new Attained(each, kind)).toList();
-            double[] crowd = crowd(kind, its, attained);
-            for (Attained each : attained) {
-                each.with(crowd[0], crowd[1]);
-            }
-            boolean[] steady = steady(its, attained);
+            // A life that began under way began cold: it shows the warm-up and not what the kind is like.
+            long first = its.stream().mapToLong(each -> each.started).min().orElse(0);
+            List<Capture> warm = its.stream().filter(each -> each.started - first < kind.warmUp() + COLD_APART).toList();
+            Curve curve = crowd(kind, warm);
+            curves.put(kind.name(), curve);
+            List<Attained> attained = curve.applied(warm, kind);
+            boolean[] steady = steady(warm, attained);
             Sample reading = new Sample();
-            for (int c = 0; c < its.size(); c++) {
-                Capture capture = its.get(c);
-                for (int i = 0; i < capture.rows; i++) {
-                    int group = groupOf[capture.group[i]];
-                    if (!steady[c]) {
-                        continue;
-                    }
-                    if (capture.heard[i] > capture.arrived[i]) {
-                        reading.add(attained.get(c).between(capture.arrived[i], capture.heard[i]));
+            for (int c = 0; c < warm.size(); c++) {
+                Capture capture = warm.get(c);
+                for (int i = 0; i < capture.rows && steady[c]; i++) {
+                    if (attained.get(c).wasRead(capture, i)) {
+                        reading.add(attained.get(c).reading(capture, i));
                     }
                     if (Attained.ran(capture, i)) {
-                        works[group].add(Math.max(1, attained.get(c).between(capture.begun[i],
-                                capture.begun[i] + capture.took[i])));
+                        works[groupOf[capture.group[i]]].add(Math.max(1, attained.get(c).run(capture, i)));
                     }
                 }
             }
-            readings.put(kind.name(), reading);
+            // What waited for a start or for the garbage collector is no core time of the machine.
+            readings.put(kind.name(), reading.trimmed());
             kinds.add(new Kind(kind.name(), kind.cores(), kind.speed(), kind.speedSpread(),
-                    reading.count() == 0 ? kind.reading() : reading.mean(), crowd[0], crowd[1], kind.memoryKb(),
+                    reading.count() == 0 ? kind.reading() : reading.trimmed().mean(), curve.from, curve.loss, kind.memoryKb(),
                     kind.table(), kind.tableTax(), kind.connect(), kind.descriptors(), kind.coldShare(), kind.warmUp(),
                     kind.price()));
         }
         return readings;
     }
 
-    /** The curve under which what a job is found to have got does not depend on how many there were as it began. */
-    private double[] crowd(Kind kind, List<Capture> its, List<Attained> attained) {
-        double most = attained.stream().mapToDouble(Attained::mostPerCore).max().orElse(0);
-        String what = "crowding of " + kind.name() + ", speed lost for each job past ";
-        if (most < CROWD_SEEN) {
-            boolean toldCrowd = !Double.isNaN(kind.crowdFrom());
-            double from = toldCrowd ? kind.crowdFrom() : 1_000;
-            double loss = toldCrowd ? kind.crowdLoss() : 0;
-            remarks.add("no relay of kind '" + kind.name() + "' was crowded: " + (toldCrowd
-                    ? "its crowding is that of the fleet file" : "it is taken to lose nothing by a crowd"));
-            lines.add(new Told(what + from + " a core", loss, loss, loss, "", Told.UNSEEN));
-            return new double[] {from, loss};
+    /** How a crowd slows the cores, and how long a reading waits for the program besides. */
+    private record Curve(double from, double loss, long latency) {
+        List<Attained> applied(List<Capture> captures, Kind kind) {
+            List<Attained> attained = new ArrayList<>();
+            for (Capture capture : captures) {
+                Attained each = new Attained(capture, kind, latency);
+                each.with(from, loss);
+                attained.add(each);
+            }
+            return attained;
+        }
+
+        /** The part of the speed that is lost with so many jobs for each core. */
+        double lost(double perCore) {
+            return perCore <= from ? 0 : 1 - 1 / (1 + loss * (perCore - from));
+        }
+    }
+
+    /**
+     * The curve under which what a job is found to have got does not depend on how many there were as it began. Among those
+     * that explain the rows about as well the mildest is taken.
+     */
+    private Curve crowd(Kind kind, List<Capture> warm) {
+        List<Capture> used = new ArrayList<>();
+        int rows = 0;
+        for (Capture each : warm) {
+            if (rows == 0 || rows + each.rows <= CURVE_ROWS) {
+                used.add(each);
+                rows += each.rows;
+            }
         }
+        List<Curve> curves = new ArrayList<>();
+        List<Double> off = new ArrayList<>();
         double best = Double.MAX_VALUE;
-        double[] found = {FROM[0], 0};
-        double[][] at = new double[FROM.length][LOSS.length];
-        for (int f = 0; f < FROM.length; f++) {
-            for (int l = 0; l < LOSS.length; l++) {
-                if (l == 0 && f > 0) {
-                    at[f][l] = at[0][0];
-                    continue;
-                }
-                for (Attained each : attained) {
-                    each.with(FROM[f], LOSS[l]);
+        double most = 0;
+        int crowded = 0;
+        for (long latency : LATENCY) {
+            List<Attained> attained = new Curve(1, 0, latency).applied(used, kind);
+            if (latency == 0) {
+                for (int c = 0; c < used.size(); c++) {
+                    for (int i = 0; i < used.get(c).rows; i++) {
+                        double perCore = attained.get(c).perCore(used.get(c).arrived[i]);
+                        most = Math.max(most, perCore);
+                        crowded += perCore > CROWD_SEEN ? 1 : 0;
+                    }
                 }
-                at[f][l] = unevenness(its, attained);
-                if (at[f][l] < best) {
-                    best = at[f][l];
-                    found = new double[] {FROM[f], LOSS[l]};
+            }
+            for (double from : FROM) {
+                for (double loss : LOSS) {
+                    if (loss == 0 && from > FROM[0]) {
+                        continue;
+                    }
+                    for (Attained each : attained) {
+                        each.with(from, loss);
+                    }
+                    double uneven = unevenness(used, attained);
+                    best = Math.min(best, uneven);
+                    curves.add(new Curve(from, loss, latency));
+                    off.add(uneven);
                 }
             }
         }
-        double low = Double.MAX_VALUE;
+        if (crowded < CROWD_ROWS) {
+            boolean told = !Double.isNaN(kind.crowdFrom());
+            double from = told ? kind.crowdFrom() : 1_000;
+            double loss = told ? kind.crowdLoss() : 0;
+            remarks.add("hardly a relay of kind '" + kind.name() + "' was crowded: " + (told
+                    ? "its crowding is that of the fleet file" : "it is taken to lose nothing by a crowd"));
+            lines.add(new Told("speed lost by " + kind.name() + " for each job past " + from + " a core", loss, loss, loss,
+                    "", Told.UNSEEN));
+            return new Curve(from, loss, 0);
+        }
+        Curve found = null;
+        double low = 1;
         double high = 0;
-        for (int f = 0; f < FROM.length; f++) {
-            for (int l = 0; l < LOSS.length; l++) {
-                // What a crowd as large as the largest seen takes, over all curves that explain the rows about as well.
-                if (at[f][l] <= best + 4) {
-                    low = Math.min(low, lost(FROM[f], LOSS[l], most));
-                    high = Math.max(high, lost(FROM[f], LOSS[l], most));
-                }
+        for (int i = 0; i < curves.size(); i++) {
+            double lost = curves.get(i).lost(most);
+            if (off.get(i) <= best + ABOUT_AS_WELL && (found == null || lost < found.lost(most))) {
+                found = curves.get(i);
+            }
+            if (off.get(i) <= best + 2 * ABOUT_AS_WELL) {
+                low = Math.min(low, lost);
+                high = Math.max(high, lost);
             }
         }
-        double value = lost(found[0], found[1], most);
         lines.add(new Told("speed lost by " + kind.name() + " with " + Math.round(most * 10) / 10.0
-                + " jobs for each core, past " + found[0], value, low, high, "", Told.CAPTURE));
+                + " jobs for each core, " + found.loss + " for each past " + found.from, found.lost(most), low, high, "",
+                Told.CAPTURE));
         return found;
     }
 
-    private static double lost(double from, double loss, double perCore) {
-        return perCore <= from ? 0 : 1 - 1 / (1 + loss * (perCore - from));
-    }
-
+    /**
+     * How much what jobs are found to have got differs by the crowd that they began in, for what chance and unevenness of
+     * no account would give. A reading costs the same each time, and its middle is proof against the odd one that waited
+     * for something else than a core; a run is drawn, and goes by its mean.
+     */
     private double unevenness(List<Capture> its, List<Attained> attained) {
-        int groups = its.get(0).facts.groupNames.size() + 1;
-        double[][] sum = new double[groups][BINS];
-        double[][] squares = new double[groups][BINS];
-        int[][] count = new int[groups][BINS];
+        int groups = its.get(0).facts.groupNames.size();
+        Sample[][] got = new Sample[groups + 1][];
+        for (int g = 0; g <= groups; g++) {
+            got[g] = samples(BINS);
+        }
         for (int c = 0; c < its.size(); c++) {
             Capture capture = its.get(c);
             Attained of = attained.get(c);
             for (int i = 0; i < capture.rows; i++) {
-                if (capture.heard[i] > capture.arrived[i]) {
-                    note(sum, squares, count, groups - 1, of.perCore(capture.arrived[i]),
-                            of.between(capture.arrived[i], capture.heard[i]));
+                if (of.wasRead(capture, i)) {
+                    got[groups][bin(of.perCore(capture.arrived[i]))].add(of.reading(capture, i));
                 }
                 if (Attained.ran(capture, i)) {
-                    note(sum, squares, count, capture.group[i], of.perCore(capture.begun[i]),
-                            of.between(capture.begun[i], capture.begun[i] + capture.took[i]));
+                    got[capture.group[i]][bin(of.perCore(capture.begun[i]))].add(of.run(capture, i));
                 }
             }
         }
         double all = 0;
-        for (int g = 0; g < groups; g++) {
-            double total = Arrays.stream(sum[g]).sum();
-            int n = Arrays.stream(count[g]).sum();
+        for (int g = 0; g <= groups; g++) {
+            double[] middle = new double[BINS];
+            double[] weight = new double[BINS];
+            double sum = 0;
+            double weights = 0;
             for (int b = 0; b < BINS; b++) {
-                if (count[g][b] >= BIN_ROWS) {
-                    double mean = sum[g][b] / count[g][b];
-                    double variance = Math.max(1e-6, squares[g][b] / count[g][b] - mean * mean);
-                    double off = mean - total / n;
-                    all += off * off / (variance / count[g][b] + 1e-6 * mean * mean);
+                Sample sample = got[g][b];
+                if (sample.count() < BIN_ROWS) {
+                    continue;
                 }
+                middle[b] = Math.log(Math.max(1, g == groups ? sample.quantile(0.5) : sample.mean()));
+                double sure = g == groups ? (sample.quantile(0.75) / sample.quantile(0.25) - 1) / Math.sqrt(sample.count())
+                        : sample.spread() / Math.sqrt(sample.count());
+                weight[b] = 1 / (sure * sure + UNEVEN * UNEVEN);
+                sum += weight[b] * middle[b];
+                weights += weight[b];
+            }
+            for (int b = 0; b < BINS; b++) {
+                all += weight[b] * (middle[b] - sum / weights) * (middle[b] - sum / weights);
             }
         }
         return all;
     }
 
-    private static void note(double[][] sum, double[][] squares, int[][] count, int group, double perCore, double got) {
-        int bin = (int) Math.min(BINS - 1, Math.max(0, Math.floor(2 * (perCore - 0.25))));
-        sum[group][bin] += got;
-        squares[group][bin] += got * got;
-        count[group][bin]++;
+    private static int bin(double perCore) {
+        return (int) Math.min(BINS - 1, 5 * Math.log1p(perCore));
     }
 
     /** Relays whose works differ from all others are cold, slowed or of another speed: not what the kind is like. */
@@ -291,13 +383,14 @@
         int[] count = new int[its.size()];
         for (int c = 0; c < its.size(); c++) {
             Capture capture = its.get(c);
+            Sample readings = new Sample();
             for (int i = 0; i < capture.rows; i++) {
-                if (capture.heard[i] > capture.arrived[i]) {
-                    mean[c] += attained.get(c).between(capture.arrived[i], capture.heard[i]);
+                if (attained.get(c).wasRead(capture, i)) {
+                    readings.add(attained.get(c).reading(capture, i));
                     count[c]++;
                 }
             }
-            mean[c] /= Math.max(1, count[c]);
+            mean[c] = count[c] == 0 ? 0 : readings.quantile(0.5);
         }
         double middle = median(mean, count);
         boolean[] steady = new boolean[its.size()];
--- a/lab/src/main/java/vetchrill/planner/Sample.java
+++ b/lab/src/main/java/vetchrill/planner/Sample.java
@@ -63,6 +63,17 @@
         return new double[] {means[RESAMPLED / 20], means[RESAMPLED - RESAMPLED / 20 - 1]};
     }
 
+    /** Without the tenth at either end. */
+    Sample trimmed() {
+        double[] sorted = Arrays.copyOf(values, count);
+        Arrays.sort(sorted);
+        Sample inner = new Sample();
+        for (int i = count / 10; i < count - count / 10; i++) {
+            inner.add(sorted[i]);
+        }
+        return inner;
+    }
+
     double draw(SplittableRandom chance) {
         return values[chance.nextInt(count)];
     }
--- a/lab/src/main/java/vetchrill/standin/Rig.java
+++ b/lab/src/main/java/vetchrill/standin/Rig.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.HdrHistogram.Histogram;
+import org.HdrHistogram.Recorder;
 import vetchrill.fleet.Fleet;
 import vetchrill.fleet.Fleet.Pool;
 import vetchrill.fleet.Trouble;
@@ -38,6 +39,7 @@
     /** First tries later than this at the 99th percentile make a run void, in tenths of a millisecond. */
     private static final long LATE = 250;
     private static final long LOOK_AGAIN = 1_000;
+    private static final long LONGEST_READING = 150_000;
     private static final int OPEN_PER_CONNECTION = 32;
     private static final int START_S = 60;
 
@@ -126,14 +128,18 @@
     private final Set<Sent> reading = new HashSet<>();
     private final List<Arrived> arrived = new ArrayList<>();
     private final Histogram lateness = new Histogram(3);
-    private final Histogram latency = new Histogram(3);
+    private final Recorder latency = new Recorder(3);
     private final AtomicLong ids = new AtomicLong();
     private long origin;
     private final Tally tally;
     private int wrongResults;
+    /** As many as {@link #reading} has, for other threads. */
+    private volatile int unread;
     private volatile boolean over;
     private volatile boolean began;
     private volatile Exception failed;
+    /** Whoever is stopped in the middle leaves no process behind. */
+    private final Thread leftovers = new Thread(this::killAll);
 
     /** {@code recorded}: the instances write captures into a folder below {@code folder}. */
     public Rig(Fleet fleet, Demand demand, long span, long seed, Path folder, boolean recorded) throws IOException {
@@ -210,7 +216,8 @@
         start();
         go();
         long end = span + fleet.groups.stream().mapToLong(Fleet.Group::asyncTimeout).max().orElse(0) + 1_000;
-        while (now() < end) {
+        // What has come to a machine is read before the end, however long that takes a swamped one.
+        while (now() < end || unread > 0 && now() < end + LONGEST_READING) {
             Thread.sleep(20);
         }
         return end();
@@ -218,6 +225,7 @@
 
     /** Starts all instances, at most as many at once as there are cores, and waits until they are up. */
     public void start() throws IOException, InterruptedException {
+        Runtime.getRuntime().addShutdownHook(leftovers);
         for (Seat seat : seats) {
             seat.start(false);
         }
@@ -250,9 +258,9 @@
         return tally;
     }
 
-    /** From the intended time of each first try to its completion, in tenths of a millisecond. */
+    /** From the intended time of each first try to its completion, in tenths of a millisecond, since the last call. */
     public Histogram latency() {
-        return latency;
+        return latency.getIntervalHistogram();
     }
 
     public long elapsed() {
@@ -368,11 +376,14 @@
         arrived.add(new Arrived(seat.number, sent.stub.number, stamp, task.bytes, (float) task.kb, task.tries == 1));
         seat.due.put(sent.id, new Seat.Due(task.work, task.body));
         reading.add(sent);
+        unread = reading.size();
         seat.machine.work(seat.kind.reading(), () -> soon(() -> read(sent, stamp)));
     }
 
     private void read(Sent sent, long stamp) {
-        if (!reading.remove(sent) || sent.life != sent.seat.life) {
+        boolean waited = reading.remove(sent);
+        unread = reading.size();
+        if (!waited || sent.life != sent.seat.life) {
             return;
         }
         Task task = (Task) sent.asking;
@@ -611,6 +622,7 @@
         for (Sent sent : List.copyOf(reading)) {
             if (sent.seat == seat) {
                 reading.remove(sent);
+                unread = reading.size();
                 later(sent, Asking.Answer.RESET, 0, false);
             }
         }
@@ -661,9 +673,23 @@
         }));
     }
 
+    private void killAll() {
+        for (Seat seat : seats) {
+            Process process = seat.process;
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Override
     public void close() throws IOException {
         over = true;
+        try {
+            Runtime.getRuntime().removeShutdownHook(leftovers);
+        } catch (IllegalStateException e) {
+            // The whole process is ending: the hook does its part.
+        }
         loop.shutdownNow();
         for (StubSide stub : stubs) {
             for (List<Line> lines : stub.lines) {
--- a/lab/src/main/java/vetchrill/tool/ProveCommand.java
+++ b/lab/src/main/java/vetchrill/tool/ProveCommand.java
@@ -8,6 +8,10 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -35,6 +39,9 @@
 final class ProveCommand implements Callable<Integer> {
     private static final System.Logger LOG = System.getLogger("vetchrill.prove");
 
+    /** A run that was void is played again, so often at most. */
+    private static final int TRIES = 3;
+
     @Parameters(paramLabel = "FLEET", description = "The fleet to play, with all that the planner is then not told.")
     private Path file;
 
@@ -56,6 +63,9 @@
     @Option(names = "--threads", description = "Worlds played at once; all cores where not given.")
     private int threads = Runtime.getRuntime().availableProcessors();
 
+    @Option(names = "--beside", defaultValue = "3", description = "Fleets played side by side (${DEFAULT-VALUE}).")
+    private int beside;
+
     private record Case(String name, double load, Retry retry, List<Trouble> troubles) {
     }
 
@@ -78,20 +88,31 @@
         double worstTries = 0;
         System.out.printf("%-28s %4s %7s %7s %7s %6s %7s %7s %7s %7s %6s%n", "case", "seed", "asked/s", "service",
                 "planned", "error", "other", "error", "tries", "found", "late");
+        ExecutorService rigs = Executors.newFixedThreadPool(beside, work -> {
+            Thread thread = new Thread(work, "rig");
+            thread.setDaemon(true);
+            return thread;
+        });
         try (Sweep sweep = new Sweep(threads, 8, seconds * 10_000L, 20_000, () -> { })) {
+            List<Future<Outcome>> playing = new ArrayList<>();
             for (Case each : cases(world)) {
-                if (only != null && !each.name.contains(only)) {
-                    continue;
-                }
                 for (int seed = firstSeed; seed < firstSeed + seeds; seed++) {
-                    Outcome outcome = play(world, each, seed);
-                    if (outcome == null) {
-                        misses++;
-                        continue;
+                    int of = seed;
+                    if (only == null || each.name.contains(only)) {
+                        playing.add(rigs.submit(() -> play(world, each, of)));
                     }
+                }
+            }
+            for (Future<Outcome> next : playing) {
+                Outcome outcome = next.get();
+                if (outcome == null) {
+                    misses++;
+                } else {
+                    Case each = outcome.of;
+                    int seed = outcome.seed;
                     outcomes.add(outcome);
                     Fleet fitted = outcome.fit.fleet;
-                    Spread planned = sweep.service(sweep.runs(with(fitted, each), outcome.fit.demand));
+                    Spread planned = sweep.service(sweep.runs(with(fitted, each), outcome.fit.replay()));
                     double error = 100 * (planned.mean() - outcome.truth);
                     worst = Math.max(worst, Math.abs(error));
                     sum += Math.abs(error);
@@ -116,6 +137,13 @@
                     System.out.flush();
                 }
             }
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof RuntimeException cause) {
+                throw cause;
+            }
+            throw new IOException(e.getCause());
+        } finally {
+            rigs.shutdownNow();
         }
         System.out.printf("runs that were void and are not in the table: %d%n", misses);
         System.out.printf("proof: runs=%d worst_error_points=%.1f mean_error_points=%.1f other_load_worst_points=%.1f "
@@ -162,8 +190,17 @@
         return fleet.fitted(kinds, groups, new Load(Double.NaN, 0, fleet.load.period()), new Subjects(-1, Double.NaN));
     }
 
-    /** Null where the run was void: the load itself was late, or a promise was broken, which ends the whole. */
+    /** Null where the run was void again and again: the load itself was late, so that it shows nothing. */
     private Outcome play(Fleet world, Case each, int seed) throws IOException, InterruptedException {
+        Outcome outcome = null;
+        for (int i = 0; outcome == null && i < TRIES; i++) {
+            outcome = playOnce(world, each, seed);
+        }
+        return outcome;
+    }
+
+    /** Null where the run was void. A promise that was broken ends the whole. */
+    private Outcome playOnce(Fleet world, Case each, int seed) throws IOException, InterruptedException {
         Path run = folder.resolve(each.name.replaceAll("[^0-9a-z]+", "-") + "-" + seed);
         empty(run);
         Fleet playing = with(world.withLoad(world.fullLoad() * each.load), each);
