--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,11 @@
 # The usual steps; CI calls the command of `test` by itself.
-.PHONY: build test lint run clean
+.PHONY: build instance test lint run measure-planner clean
 
 build:
+	mvn -B -ntp -Dmaven.test.skip=true package
+	deploy/archive.sh
+
+instance:
 	mvn -B -ntp -pl instance -am -Dmaven.test.skip=true package
 	deploy/archive.sh
 
@@ -11,8 +15,15 @@
 lint:
 	mvn -B -ntp -Plint -DskipTests test-compile checkstyle:check@lint
 
-run: build
+run: instance
 	GW_CONFIG=deploy/example.json sh -c "$$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
+# Some ten minutes; wants the machine to itself. SEEDS and FIRST_SEED choose the runs of the proof.
+SEEDS ?= 3
+FIRST_SEED ?= 1
+measure-planner: build
+	VETCHRILL_JAVA=-Xmx1g bin/vetchrill measure examples/fleet-300.hcl examples/rig.hcl \
+	    --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 clean:
 	mvn -B -ntp clean
--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,14 @@
+# What an operator may switch on beside what the platform hands over; off on the platform, which has no lasting disk.
+#   bin/vetchrill serve --operator deploy/operator.hcl
+
+capture {
+  on          = true
+  directory   = "captures"         # a file for each start of an instance
+  zone        = "reykjavik"        # where this instance stands, by the names of the fleet file
+  kind        = "small"            # and what machine it is
+  # 32 hexadecimal digits, the same on all relays and kept secret: subjects are recorded as their keyed hash only.
+  subject_key = "00112233445566778899aabbccddeeff"
+  ring_rows   = 8192               # exchanges that may wait for the writer; past them they are counted and left out
+  flush_ms    = 500                # what is recorded is in the file so long after at most
+  most_mb     = 256                # the file grows no further
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/bench/QueueBench.java
@@ -0,0 +1,62 @@
+package vetchrill.bench;
+
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import vetchrill.model.Event;
+import vetchrill.model.EventQueue;
+import vetchrill.model.HeapQueue;
+import vetchrill.model.TimeWheel;
+
+/**
+ * The model's queue against the plain one: one event taken and one put in, with as many waiting as a large fleet
+ * has.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class QueueBench {
+    private static final class Nothing extends Event {
+        @Override
+        public void happen(long now) {
+            throw new IllegalStateException("not played here");
+        }
+    }
+
+    @Param({"heap", "wheel"})
+    public String queue;
+
+    @Param({"1000", "20000"})
+    public int waiting;
+
+    private EventQueue events;
+    private final SplittableRandom chance = new SplittableRandom(1);
+
+    @Setup
+    public void fill() {
+        events = queue.equals("heap") ? new HeapQueue() : new TimeWheel();
+        for (int i = 0; i < waiting; i++) {
+            events.add(ahead(), new Nothing());
+        }
+    }
+
+    /** As in the model: most of it soon, a look each tenth of a second, and what a stub gives up seconds later. */
+    private long ahead() {
+        int kind = chance.nextInt(10);
+        return events.now() + (kind < 6 ? chance.nextInt(300) : kind < 8 ? 1_000 : 37_000 + chance.nextInt(23_000));
+    }
+
+    @Benchmark
+    public Event next() {
+        Event event = events.poll();
+        events.add(ahead(), event);
+        return event;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/bench/RecorderBench.java
@@ -0,0 +1,92 @@
+package vetchrill.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
+import org.openjdk.jmh.infra.Blackhole;
+import vetchrill.capture.CaptureOrder;
+import vetchrill.capture.CaptureWriter;
+import vetchrill.hcl.Block;
+import vetchrill.routing.Recorder;
+
+/**
+ * What recording one exchange costs the decision thread, on against off. Some work stands between two exchanges, as no
+ * instance has a million of them a second and a full ring would only measure how fast it is full.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class RecorderBench {
+    /** Of JMH's tokens, some two nanoseconds each. */
+    private static final int BETWEEN = 2_000;
+
+    @Param({"off", "on"})
+    public String recording;
+
+    private CaptureWriter writer;
+    private Path folder;
+    private long at;
+
+    @Setup(Level.Iteration)
+    public void open() throws IOException {
+        if (recording.equals("on")) {
+            folder = Files.createTempDirectory("bench");
+            writer = new CaptureWriter(CaptureOrder.in(Block.parse("o.hcl", "capture {\n directory = \"" + folder
+                    + "\"\n zone = \"z\"\n kind = \"k\"\n subject_key = \"000102030405060708090a0b0c0d0e0f\"\n}\n")),
+                    Map.of("name", "r1", "started", "1", "settings", "{}"));
+        }
+    }
+
+    @TearDown(Level.Iteration)
+    public void close() throws IOException {
+        if (writer != null) {
+            writer.close();
+            try (var all = Files.walk(folder)) {
+                for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(each);
+                }
+            }
+        }
+    }
+
+    @Benchmark
+    public long exchange() {
+        Blackhole.consumeCPU(BETWEEN);
+        long now = ++at;
+        Recorder recorder = writer;
+        if (recorder != null) {
+            Recorder.ExchangeRow row = recorder.claimExchange();
+            if (row != null) {
+                row.arrived = now;
+                row.heard = now + 5;
+                row.group = 1;
+                row.customer = 1;
+                row.stub = 3;
+                row.subject = now;
+                row.kb = 24;
+                row.bytes = 200;
+                row.begun = now + 6;
+                row.took = 400;
+                row.answered = now + 410;
+                row.answer = Recorder.COMPLETED;
+                row.away = 0;
+                row.giveUp = false;
+                recorder.put(row);
+            }
+        }
+        return now;
+    }
+}
--- a/lab/src/main/java/vetchrill/capture/CaptureWriter.java
+++ b/lab/src/main/java/vetchrill/capture/CaptureWriter.java
@@ -19,9 +19,10 @@
 import vetchrill.routing.Recorder;
 
 /**
- * Writes what an instance does to a capture file, from a thread of its own. Rows go round between two bounded rings: the
- * decision thread takes an empty one and gives it back filled, the writer the other way round, so that neither waits for
- * the other and no row is ever allocated. What finds no empty row is counted, and the count stands in the next part.
+ * Writes what an instance does to a capture file, from a thread of its own. Rows go round between two bounded rings:
+ * the decision thread takes an empty one and gives it back filled, the writer the other way round, so that neither
+ * waits for the other and no row is ever allocated. What finds no empty row is counted, and the count stands in the
+ * next part.
  */
 public final class CaptureWriter implements Recorder {
     private static final System.Logger LOG = System.getLogger("vetchrill.capture");
--- a/lab/src/main/java/vetchrill/capture/Clocks.java
+++ b/lab/src/main/java/vetchrill/capture/Clocks.java
@@ -9,8 +9,8 @@
 
 /**
  * By how much the clocks of the captured relays differ, as far as the rows tell. A stub that is denied at one relay and
- * asks another leaves two rows of one exchange; what lies between them is the stub's pause and the network, which is the
- * same in both directions, and the difference of the two clocks, which is not.
+ * asks another leaves two rows of one exchange; what lies between them is the stub's pause and the network, which is
+ * the same in both directions, and the difference of the two clocks, which is not.
  */
 public final class Clocks {
     /** What counts as the same gap, in tenths of a millisecond. */
--- a/lab/src/main/java/vetchrill/capture/Merged.java
+++ b/lab/src/main/java/vetchrill/capture/Merged.java
@@ -8,10 +8,10 @@
 import vetchrill.routing.Recorder;
 
 /**
- * Captures of several relays as one: rows in the order of their arrival on one clock, and for each whether it was a first
- * try. Further tries are not marked on the way, so that is an estimate: a row is taken for a further try where an earlier
- * one of the same stub, customer, group, subject, size and memory had ended without a result or was not answered yet, and
- * was no older than an exchange may get.
+ * Captures of several relays as one: rows in the order of their arrival on one clock, and for each whether it was a
+ * first try. Further tries are not marked on the way, so that is an estimate: a row is taken for a further try where
+ * an earlier one of the same stub, customer, group, subject, size and memory had ended without a result or was not
+ * answered yet, and was no older than an exchange may get.
  */
 public final class Merged {
     /** A stub's own clockwork: a further try may seem to come a little before the answer that caused it. */
@@ -25,7 +25,10 @@
     public final int[] row;
     public final long[] arrived;
     public final boolean[] further;
-    /** Of the rows that were taken for further tries, how many are so by chance alone, as far as a shifted match tells. */
+    /**
+     * Of the rows that were taken for further tries, how many are so by chance alone, as far as a shifted match
+     * tells.
+     */
     public final double byChance;
     public final long from;
     public final long to;
@@ -87,7 +90,8 @@
                 remarks.add(each.file.getFileName() + " lacks " + each.lost + " exchanges that found no room");
             }
             if (clocks.offset[c] != 0) {
-                remarks.add("the clock of " + each.name + " was off by " + clocks.offset[c] / 10.0 + " ms and is set right");
+                remarks.add("the clock of " + each.name + " was off by " + clocks.offset[c] / 10.0
+                        + " ms and is set right");
             }
         }
         if (captures.size() > 1 && !clocks.all()) {
--- a/lab/src/main/java/vetchrill/capture/Parts.java
+++ b/lab/src/main/java/vetchrill/capture/Parts.java
@@ -19,9 +19,10 @@
 import org.apache.arrow.vector.types.pojo.Schema;
 
 /**
- * The two tables of a capture in Arrow's columns, and how a part of a file is laid out: "VCAP", a byte for the version, a
- * byte for the table, two of zero, the length and the CRC-32C of what follows as big-endian numbers of four bytes, then a
- * whole Arrow stream of one batch. Each part has its schema and provenance in it, so that each can be read alone.
+ * The two tables of a capture in Arrow's columns, and how a part of a file is laid out: "VCAP", a byte for the
+ * version, a byte for the table, two of zero, the length and the CRC-32C of what follows as big-endian numbers of
+ * four bytes, then a whole Arrow stream of one batch. Each part has its schema and provenance in it, so that each can
+ * be read alone.
  */
 final class Parts {
     static final byte[] MAGIC = {'V', 'C', 'A', 'P'};
@@ -33,9 +34,11 @@
     static final byte END = 3;
     static final int LONGEST = 64 << 20;
 
-    static final List<String> EXCHANGE_COLUMNS = List.of("arrived", "heard", "group", "customer", "stub", "subject", "kb",
+    static final List<String> EXCHANGE_COLUMNS = List.of("arrived", "heard", "group", "customer", "stub", "subject",
+            "kb",
             "bytes", "begun", "took", "answered", "answer", "away", "give_up");
-    static final List<String> LOOK_COLUMNS = List.of("at", "cpu", "runnable", "memory", "connections", "open", "running");
+    static final List<String> LOOK_COLUMNS = List.of("at", "cpu", "runnable", "memory", "connections", "open",
+            "running");
 
     private Parts() {
     }
--- a/lab/src/main/java/vetchrill/fleet/Fleet.java
+++ b/lab/src/main/java/vetchrill/fleet/Fleet.java
@@ -7,7 +7,8 @@
 
 /**
  * A fleet as its operators describe it: what the planner's model and the rig play. Times are tenths of a millisecond.
- * What a capture can tell may be left out of the file and is NaN, or below zero where it is a count, until it is fitted.
+ * What a capture can tell may be left out of the file and is NaN, or below zero where it is a count, until it is
+ * fitted.
  */
 public final class Fleet {
     public enum Effect { REPEATABLE, DEDUPLICATED, MUTATING }
@@ -17,9 +18,9 @@
     public enum Retry { NONE, LIMITED, UNLIMITED }
 
     /**
-     * One kind of machine. {@code reading} is core time for each exchange read, {@code crowdFrom} the jobs for each core
-     * past which each further one takes {@code crowdLoss} of the speed; a full connection table costs {@code tableTax} of
-     * each reading once more, a new connection {@code connect} of core time.
+     * One kind of machine. {@code reading} is core time for each exchange read, {@code crowdFrom} the jobs for each
+     * core past which each further one takes {@code crowdLoss} of the speed; a full connection table costs {@code
+     * tableTax} of each reading once more, a new connection {@code connect} of core time.
      */
     public record Kind(String name, int cores, double speed, double speedSpread, double reading, double crowdFrom,
             double crowdLoss, double memoryKb, int table, double tableTax, double connect, int descriptors,
@@ -40,7 +41,8 @@
     public record Group(String name, Effect effect, long sloTime, long asyncTimeout, double benefit, double lateShare,
             double share, double work, double workSpread, double kb, int bytes, double calls, double withoutCall) {
         Group with(double share, double work, double workSpread, double kb, int bytes) {
-            return new Group(name, effect, sloTime, asyncTimeout, benefit, lateShare, share, work, workSpread, kb, bytes,
+            return new Group(name, effect, sloTime, asyncTimeout, benefit, lateShare, share, work, workSpread, kb,
+                    bytes,
                     calls, withoutCall);
         }
     }
@@ -50,7 +52,8 @@
 
     /**
      * Client stubs of one habit. {@code tries} bounds those that retry within limits, {@code pause} passes before each
-     * further try, {@code tryTimeout} gives up a single try (0 for never); {@code heed} is the part that follows advice.
+     * further try, {@code tryTimeout} gives up a single try (0 for never); {@code heed} is the part that follows
+     * advice.
      */
     public record Pool(String name, int count, Habit habit, Retry retry, int tries, long pause, long tryTimeout,
             double heed, String zone) {
@@ -64,7 +67,8 @@
     }
 
     /** What every relay is told and bound by; {@code crowdSpan} is how long its cores survive too large a crowd. */
-    public record Rules(long grace, long stop, double crowdPerCore, long crowdSpan, long longestAway, double beyondShare,
+    public record Rules(long grace, long stop, double crowdPerCore, long crowdSpan, long longestAway,
+            double beyondShare,
             long idle, double runGrowth, long restart) {
     }
 
--- a/lab/src/main/java/vetchrill/fleet/FleetFile.java
+++ b/lab/src/main/java/vetchrill/fleet/FleetFile.java
@@ -121,7 +121,8 @@
         int descriptors = block.whole("descriptors", 32, 1_000_000, 1_024);
         int table = block.whole("connection_table", 1, 1_000_000, descriptors / 8);
         if (table > descriptors) {
-            block.mistake("connection_table", "is " + table + ", which is more than the " + descriptors + " descriptors");
+            block.mistake("connection_table", "is " + table + ", which is more than the " + descriptors
+                    + " descriptors");
         }
         return new Kind(block.label(), block.whole("cores", 1, 1_024), block.number("speed", 0.01, 100, 1),
                 block.number("speed_cv", 0, 1, 0), tenths(block, "reading_ms", 0, 10_000, Double.NaN), from, loss,
--- a/lab/src/main/java/vetchrill/hcl/Block.java
+++ b/lab/src/main/java/vetchrill/hcl/Block.java
@@ -21,8 +21,8 @@
 import java.util.TreeSet;
 
 /**
- * One block of an HCL file, read key by key. Each reader says what is allowed; what is not is noted with its place and a
- * stand-in value is returned, so that {@link #check} can tell of all mistakes of the file at once.
+ * One block of an HCL file, read key by key. Each reader says what is allowed; what is not is noted with its place
+ * and a stand-in value is returned, so that {@link #check} can tell of all mistakes of the file at once.
  */
 public final class Block {
     private static final int LONGEST = 1 << 20;
@@ -193,7 +193,8 @@
     }
 
     private static String plain(double value) {
-        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value) : Double.toString(value);
+        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
+                : Double.toString(value);
     }
 
     public int whole(String key, int least, int most) {
--- a/lab/src/main/java/vetchrill/model/Chooser.java
+++ b/lab/src/main/java/vetchrill/model/Chooser.java
@@ -10,8 +10,8 @@
 
 /**
  * One client stub as its pool describes it: which relay it asks, and whether it asks again. It does no I/O and reads no
- * clock, and plays the same stub in the model and in the rig. Stubs are not ours to change: nothing in here is advice on
- * how a stub ought to behave.
+ * clock, and plays the same stub in the model and in the rig. Stubs are not ours to change: nothing in here is advice
+ * on how a stub ought to behave.
  */
 public final class Chooser {
     /** A relay that could not be reached is passed over for so long, in tenths of a millisecond. */
@@ -49,7 +49,10 @@
         turn = chance.nextInt(Math.max(1, roster.size()));
     }
 
-    /** The relay for the next try; -1 where none is listed. Those it keeps away from are asked only if there is no other. */
+    /**
+     * The relay for the next try; -1 where none is listed. Those it keeps away from are asked only if there is no
+     * other.
+     */
     public int choose(Asking asking, long now) {
         choices++;
         int n = roster.size();
--- a/lab/src/main/java/vetchrill/model/Cores.java
+++ b/lab/src/main/java/vetchrill/model/Cores.java
@@ -3,9 +3,9 @@
 import java.util.PriorityQueue;
 
 /**
- * The cores of one machine, shared alike by all that wants one: n jobs each get the part min(1, cores / n) of a core, and
- * past a crowd the whole gets slower. No clock and no thread of its own: whoever owns it says what time it is, in tenths
- * of a millisecond, so that the model and the stand-in of real time share it.
+ * The cores of one machine, shared alike by all that wants one: n jobs each get the part min(1, cores / n) of a core,
+ * and past a crowd the whole gets slower. No clock and no thread of its own: whoever owns it says what time it is, in
+ * tenths of a millisecond, so that the model and the stand-in of real time share it.
  */
 public final class Cores {
     /** Slowest that a crowd makes the cores. */
--- a/lab/src/main/java/vetchrill/model/Demand.java
+++ b/lab/src/main/java/vetchrill/model/Demand.java
@@ -26,13 +26,58 @@
     int bytes(int group, SplittableRandom chance);
 
     /**
-     * First tries one by one, in the order of their times, where they are known and not drawn; else null. {@code stub} is
-     * the number of the stub that they came from; {@code work} is NaN where it has to be drawn.
+     * First tries one by one, in the order of their times, where they are known and not drawn; else null. {@code
+     * stub} is the number of the stub that they came from; {@code work} is NaN where it has to be drawn.
      */
     default java.util.List<Known> known() {
         return null;
     }
 
+    /** The same with only {@code part} of its load before {@code until}, so that what plays it is warm by then. */
+    static Demand rising(Demand demand, double part, long until) {
+        return new Demand() {
+            @Override
+            public double rate(long at) {
+                return demand.rate(at) * (at < until ? part : 1);
+            }
+
+            @Override
+            public double peak() {
+                return demand.peak();
+            }
+
+            @Override
+            public double work(int group, SplittableRandom chance) {
+                return demand.work(group, chance);
+            }
+
+            @Override
+            public int group(SplittableRandom chance) {
+                return demand.group(chance);
+            }
+
+            @Override
+            public int customer(SplittableRandom chance) {
+                return demand.customer(chance);
+            }
+
+            @Override
+            public long subject(SplittableRandom chance) {
+                return demand.subject(chance);
+            }
+
+            @Override
+            public double kb(int group, SplittableRandom chance) {
+                return demand.kb(group, chance);
+            }
+
+            @Override
+            public int bytes(int group, SplittableRandom chance) {
+                return demand.bytes(group, chance);
+            }
+        };
+    }
+
     /** One first try that is known. */
     record Known(long at, int stub, int group, int customer, long subject, double kb, int bytes, double work) {
     }
--- a/lab/src/main/java/vetchrill/model/SimStub.java
+++ b/lab/src/main/java/vetchrill/model/SimStub.java
@@ -35,7 +35,8 @@
         chooser.sent(asking, chosen);
         world.tally.tries(now);
         world.tried(now);
-        SimRelay.Try ex = new SimRelay.Try(asking, this, relay.life, asking instanceof World.Drawn drawn ? drawn.work : 0);
+        SimRelay.Try ex = new SimRelay.Try(asking, this, relay.life, asking instanceof World.Drawn drawn ? drawn.work
+                : 0);
         world.events.add(now + world.delay(zone, relay.zone), new Arrival(relay, ex));
         world.events.add(chooser.giveUpAt(asking, now), new GivenUp(relay, ex));
     }
@@ -50,7 +51,8 @@
             world.tally.denied(now);
         }
         Asking asking = ex.asking;
-        long next = chooser.after(asking, world.fleet.groups.get(asking.group), relay.number, answer, away, giveUp, now);
+        long next = chooser.after(asking, world.fleet.groups.get(asking.group), relay.number, answer, away, giveUp,
+                now);
         if (asking.over) {
             return;
         }
--- a/lab/src/main/java/vetchrill/model/TimeWheel.java
+++ b/lab/src/main/java/vetchrill/model/TimeWheel.java
@@ -3,9 +3,9 @@
 import java.util.PriorityQueue;
 
 /**
- * A calendar with one bucket for each tenth of a millisecond of the next seconds, chained through the events themselves,
- * and a heap for what lies past them. Since a bucket holds one time only, its order is that of adding and nothing is ever
- * compared; a bitmap of two levels finds the next full bucket.
+ * A calendar with one bucket for each tenth of a millisecond of the next seconds, chained through the events
+ * themselves, and a heap for what lies past them. Since a bucket holds one time only, its order is that of adding and
+ * nothing is ever compared; a bitmap of two levels finds the next full bucket.
  */
 public final class TimeWheel implements EventQueue {
     private static final int BITS = 16;
--- a/lab/src/main/java/vetchrill/model/World.java
+++ b/lab/src/main/java/vetchrill/model/World.java
@@ -10,8 +10,8 @@
 import vetchrill.fleet.Trouble;
 
 /**
- * A fleet in virtual time: real modules on modelled machines, stubs of declared habits, a roster that lags, and what goes
- * wrong by a script. One thread plays one world; the same seed gives the same run whatever runs beside it.
+ * A fleet in virtual time: real modules on modelled machines, stubs of declared habits, a roster that lags, and what
+ * goes wrong by a script. One thread plays one world; the same seed gives the same run whatever runs beside it.
  */
 public final class World {
     /** An asking of the model, with the core time that it needs wherever it is run. */
@@ -96,7 +96,8 @@
         for (Pool pool : fleet.pools) {
             for (int i = 0; i < pool.count(); i++) {
                 int zone = pool.zone().isEmpty() ? number % fleet.zones.size() : zoneNamed(pool.zone());
-                stubs[number] = new SimStub(this, number, zone, pool, new Chooser(pool, i, roster, reported, chance.split()));
+                stubs[number] = new SimStub(this, number, zone, pool, new Chooser(pool, i, roster, reported,
+                        chance.split()));
                 number++;
             }
         }
@@ -264,10 +265,12 @@
             for (double left = burst; left > 0 && chance.nextDouble() < left; left--) {
                 Fleet.Group told = fleet.groups.get(first.group());
                 double work = Double.isNaN(first.work()) ? demand.work(first.group(), chance) : first.work();
-                Asking asking = new Drawn(first.group(), first.customer(), first.subject(), first.kb(), first.bytes(), now,
+                Asking asking = new Drawn(first.group(), first.customer(), first.subject(), first.kb(), first.bytes(),
+                        now,
                         now + told.asyncTimeout(), work, told.calls() > 0 && chance.nextDouble() < told.calls());
                 tally.asks(asking);
-                int stub = first.stub() >= 0 && first.stub() < stubs.length ? first.stub() : chance.nextInt(stubs.length);
+                int stub = first.stub() >= 0 && first.stub() < stubs.length ? first.stub()
+                        : chance.nextInt(stubs.length);
                 stubs[stub].send(asking, now);
             }
             if (place + 1 < known.size()) {
--- a/lab/src/main/java/vetchrill/planner/Attained.java
+++ b/lab/src/main/java/vetchrill/planner/Attained.java
@@ -6,8 +6,8 @@
 import vetchrill.model.Cores;
 
 /**
- * Core time that readings and runs of one relay got, from when each began and ended: cores are shared alike, so how many
- * wanted one at each moment tells how fast each of them went. The inverse of {@link Cores}.
+ * Core time that readings and runs of one relay got, from when each began and ended: cores are shared alike, so how
+ * many wanted one at each moment tells how fast each of them went. The inverse of {@link Cores}.
  */
 final class Attained {
     /** Ends of intervals by time, begins and ends of one time apart; the sign of an entry tells which. */
--- a/lab/src/main/java/vetchrill/planner/Fit.java
+++ b/lab/src/main/java/vetchrill/planner/Fit.java
@@ -18,8 +18,9 @@
 import vetchrill.model.Demand;
 
 /**
- * What a capture tells of a fleet: the demand behind the offered load, the work of each group, what reading costs and how
- * a crowd slows the cores. It sees rows only, never what clients counted; what rows can't tell stays as the file says.
+ * What a capture tells of a fleet: the demand behind the offered load, the work of each group, what reading costs and
+ * how a crowd slows the cores. It sees rows only, never what clients counted; what rows can't tell stays as the file
+ * says.
  */
 public final class Fit {
     private static final double[] FROM = {1, 1.25, 1.5, 2, 2.5, 3, 4, 6};
@@ -109,8 +110,8 @@
     }
 
     /**
-     * The captured first tries one by one, as they came, for a plan of the very time that was captured; what was never run
-     * has its work drawn. {@link #demand} has their shape only, and is for any other time.
+     * The captured first tries one by one, as they came, for a plan of the very time that was captured; what was
+     * never run has its work drawn. {@link #demand} has their shape only, and is for any other time.
      */
     public Demand replay() {
         return new Replay((Captured) demand, known);
@@ -166,10 +167,12 @@
         for (Capture capture : captures) {
             Zone zone = told.zones.stream().filter(each -> each.name().equals(capture.zone)).findFirst().orElse(null);
             if (zone == null) {
-                throw new CaptureFault(capture.file + ": is of zone '" + capture.zone + "', which the fleet file has not");
+                throw new CaptureFault(capture.file + ": is of zone '" + capture.zone
+                        + "', which the fleet file has not");
             }
             if (told.kinds.stream().noneMatch(each -> each.name().equals(capture.kind))) {
-                throw new CaptureFault(capture.file + ": is of kind '" + capture.kind + "', which the fleet file has not");
+                throw new CaptureFault(capture.file + ": is of kind '" + capture.kind
+                        + "', which the fleet file has not");
             }
             if (capture.facts.deployment.cores != told.kind(capture.kind).cores()) {
                 throw new CaptureFault(capture.file + ": has " + capture.facts.deployment.cores + " cores, kind '"
@@ -207,7 +210,8 @@
             }
             // A life that began under way began cold: it shows the warm-up and not what the kind is like.
             long first = its.stream().mapToLong(each -> each.started).min().orElse(0);
-            List<Capture> warm = its.stream().filter(each -> each.started - first < kind.warmUp() + COLD_APART).toList();
+            List<Capture> warm = its.stream().filter(each -> each.started - first < kind.warmUp()
+                    + COLD_APART).toList();
             Curve curve = crowd(kind, warm);
             curves.put(kind.name(), curve);
             List<Attained> attained = curve.applied(warm, kind);
@@ -227,7 +231,8 @@
             // What waited for a start or for the garbage collector is no core time of the machine.
             readings.put(kind.name(), reading.trimmed());
             kinds.add(new Kind(kind.name(), kind.cores(), kind.speed(), kind.speedSpread(),
-                    reading.count() == 0 ? kind.reading() : reading.trimmed().mean(), curve.from, curve.loss, kind.memoryKb(),
+                    reading.count() == 0 ? kind.reading() : reading.trimmed().mean(), curve.from, curve.loss,
+                            kind.memoryKb(),
                     kind.table(), kind.tableTax(), kind.connect(), kind.descriptors(), kind.coldShare(), kind.warmUp(),
                     kind.price()));
         }
@@ -253,8 +258,8 @@
     }
 
     /**
-     * The curve under which what a job is found to have got does not depend on how many there were as it began. Among those
-     * that explain the rows about as well the mildest is taken.
+     * The curve under which what a job is found to have got does not depend on how many there were as it began. Among
+     * those that explain the rows about as well the mildest is taken.
      */
     private Curve crowd(Kind kind, List<Capture> warm) {
         List<Capture> used = new ArrayList<>();
@@ -302,7 +307,8 @@
             double loss = told ? kind.crowdLoss() : 0;
             remarks.add("hardly a relay of kind '" + kind.name() + "' was crowded: " + (told
                     ? "its crowding is that of the fleet file" : "it is taken to lose nothing by a crowd"));
-            lines.add(new Told("speed lost by " + kind.name() + " for each job past " + from + " a core", loss, loss, loss,
+            lines.add(new Told("speed lost by " + kind.name() + " for each job past " + from + " a core", loss, loss,
+                    loss,
                     "", Told.UNSEEN));
             return new Curve(from, loss, 0);
         }
@@ -320,15 +326,16 @@
             }
         }
         lines.add(new Told("speed lost by " + kind.name() + " with " + Math.round(most * 10) / 10.0
-                + " jobs for each core, " + found.loss + " for each past " + found.from, found.lost(most), low, high, "",
+                + " jobs for each core, " + found.loss + " for each past " + found.from, found.lost(most), low, high,
+                        "",
                 Told.CAPTURE));
         return found;
     }
 
     /**
-     * How much what jobs are found to have got differs by the crowd that they began in, for what chance and unevenness of
-     * no account would give. A reading costs the same each time, and its middle is proof against the odd one that waited
-     * for something else than a core; a run is drawn, and goes by its mean.
+     * How much what jobs are found to have got differs by the crowd that they began in, for what chance and
+     * unevenness of no account would give. A reading costs the same each time, and its middle is proof against the
+     * odd one that waited for something else than a core; a run is drawn, and goes by its mean.
      */
     private double unevenness(List<Capture> its, List<Attained> attained) {
         int groups = its.get(0).facts.groupNames.size();
@@ -360,7 +367,8 @@
                     continue;
                 }
                 middle[b] = Math.log(Math.max(1, g == groups ? sample.quantile(0.5) : sample.mean()));
-                double sure = g == groups ? (sample.quantile(0.75) / sample.quantile(0.25) - 1) / Math.sqrt(sample.count())
+                double sure = g == groups ? (sample.quantile(0.75) / sample.quantile(0.25)
+                        - 1) / Math.sqrt(sample.count())
                         : sample.spread() / Math.sqrt(sample.count());
                 weight[b] = 1 / (sure * sure + UNEVEN * UNEVEN);
                 sum += weight[b] * middle[b];
@@ -465,7 +473,8 @@
                     group.lateShare(), share, works[g].count() > 0 ? works[g].mean() : group.work(),
                     works[g].count() > 0 ? works[g].spread() : group.workSpread(),
                     memories[g].count() > 0 ? memories[g].mean() : group.kb(), (int) Math.round(
-                            sizes[g].count() > 0 ? sizes[g].mean() : group.bytes()), group.calls(), group.withoutCall()));
+                            sizes[g].count() > 0 ? sizes[g].mean() : group.bytes()), group.calls(),
+                                    group.withoutCall()));
         }
         return groups;
     }
--- a/lab/src/main/java/vetchrill/planner/Laws.java
+++ b/lab/src/main/java/vetchrill/planner/Laws.java
@@ -8,9 +8,9 @@
 /**
  * The first cut, in a millisecond: utilisation, Erlang's and Little's laws, and the fixed points of load under retries.
  * With a try accepted with probability p and n tries at most, an exchange is completed with 1 - (1-p)^n after
- * (1 - (1-p)^n) / p tries; each try costs its reading, each completion its work, and the cores have so much time. A p at
- * which they have time to spare grows, one at which they have not shrinks: where both are so for one load, the fleet can
- * be held down by its own retries after the cause is gone.
+ * (1 - (1-p)^n) / p tries; each try costs its reading, each completion its work, and the cores have so much time. A p
+ * at which they have time to spare grows, one at which they have not shrinks: where both are so for one load, the
+ * fleet can be held down by its own retries after the cause is gone.
  */
 public final class Laws {
     private static final int STEPS = 2_000;
--- a/lab/src/main/java/vetchrill/planner/LimitFinder.java
+++ b/lab/src/main/java/vetchrill/planner/LimitFinder.java
@@ -148,7 +148,8 @@
             cut.row(x[i], LOADS[i], each.mean(), each.low(), each.high(), laws.get(i), apart);
             if (Math.abs(apart) > EXPLAINED + (each.high() - each.low())) {
                 answer.remark(String.format(java.util.Locale.ROOT, "at %.0f 1/s the laws say %.2f and the model %.2f: "
-                        + "more than their simplicity explains; they know no hot subjects, no lag of the roster, and no "
+                        + "more than their simplicity explains; they know no hot subjects, no lag of the "
+                        + "roster, and no "
                         + "order of the hold", x[i], laws.get(i), each.mean()));
             }
         }
--- a/lab/src/main/java/vetchrill/planner/Losses.java
+++ b/lab/src/main/java/vetchrill/planner/Losses.java
@@ -32,13 +32,15 @@
     /** Each of these sets of zones is lost; each zone by itself where none is given. */
     public Answer find(List<Set<String>> sets) {
         Answer answer = new Answer("What the loss of a zone does to " + basis.fleet.name);
-        answer.remark(String.format(Locale.ROOT, "played at %.1f first tries a second, %.0f%% of what the warm cores can do",
+        answer.remark(String.format(Locale.ROOT,
+                "played at %.1f first tries a second, %.0f%% of what the warm cores can do",
                 basis.perS() * load, 100 * basis.perS() * load / basis.fleet.fullLoad()));
         List<Set<String>> losses = new ArrayList<>(sets);
         if (losses.isEmpty()) {
             basis.fleet.zones.forEach(zone -> losses.add(Set.of(zone.name())));
         }
-        Answer.Table table = answer.table("Service when zones are lost, of all that is asked for from then on", "lost", "when",
+        Answer.Table table = answer.table("Service when zones are lost, of all that is asked for from then on",
+                "lost", "when",
                 "before", "after", "from", "to", "worst 5 s", "relays that fell", "back by itself", "after, s",
                 "load to shed");
         Answer.Chart chart = answer.chart("Service second by second, the zone lost at 0", "seconds",
@@ -102,7 +104,8 @@
             for (int phase = 0; phase < phases.length; phase++) {
                 long at = from + batch * period + phases[phase];
                 long span = at + 20L * Profile.SECOND;
-                List<Run> runs = play(List.of(new Trouble.Roll(from), new Trouble.Lose(at, Long.MAX_VALUE, lost)), span);
+                List<Run> runs = play(List.of(new Trouble.Roll(from), new Trouble.Lose(at, Long.MAX_VALUE, lost)),
+                        span);
                 int second = (int) (at / Profile.SECOND);
                 int end = (int) (span / Profile.SECOND);
                 Spread after = after(runs, second, end);
@@ -114,7 +117,8 @@
                 row(table, lost, "deploy, " + when, runs, second, end, null, Double.NaN);
             }
         }
-        answer.remark(String.format(Locale.ROOT, "in a rolling deploy the loss of %s is worst with %s: %.3f", words(lost),
+        answer.remark(String.format(Locale.ROOT, "in a rolling deploy the loss of %s is worst with %s: %.3f",
+                words(lost),
                 named, worst));
     }
 
@@ -132,7 +136,8 @@
         row(table, lost, "and back cold after " + GONE / Profile.SECOND + " s", runs, second, end, itself, shed);
         chart.series().add(series(words(lost) + ", back after " + GONE / Profile.SECOND + " s", runs, second, end));
         if (!itself.all) {
-            answer.remark(words(lost) + (Double.isNaN(shed) ? ": with nine tenths of the load shed the fleet is still not "
+            answer.remark(words(lost)
+                    + (Double.isNaN(shed) ? ": with nine tenths of the load shed the fleet is still not "
                     + "back " : ": the fleet does not come back by itself; it does with "
                     + Math.round(100 * shed) + "% of the load shed from the return on, ") + "within " + WAITED + " s");
         }
@@ -142,7 +147,8 @@
     private double shed(Trouble lose, long from, long span, int second) {
         for (double part : SHED) {
             List<Run> runs = play(List.of(lose, new Trouble.Burst(from, Long.MAX_VALUE / 2, 1 - part)), span);
-            if (back(runs, second, (int) (from / Profile.SECOND), (int) (span / Profile.SECOND), before(runs, second)).all) {
+            if (back(runs, second, (int) (from / Profile.SECOND), (int) (span / Profile.SECOND),
+                    before(runs, second)).all) {
                 return part;
             }
         }
@@ -174,7 +180,8 @@
     private void row(Answer.Table table, Set<String> lost, String when, List<Run> runs, int second, int end, Back back,
             double shed) {
         Spread after = after(runs, second, end);
-        double worst = runs.stream().mapToDouble(run -> run.tally().worst(STEADY, second, end)).min().orElse(Double.NaN);
+        double worst = runs.stream().mapToDouble(run -> run.tally().worst(STEADY, second,
+                end)).min().orElse(Double.NaN);
         int fell = runs.stream().mapToInt(run -> run.peaks().fell).max().orElse(0);
         table.row(words(lost), when, before(runs, second), after.mean(), after.low(), after.high(), worst, fell,
                 back == null ? "" : back.all ? "yes" : back.runs == 0 ? "no" : "in " + back.runs + " of " + runs.size(),
--- a/lab/src/main/java/vetchrill/planner/Showing.java
+++ b/lab/src/main/java/vetchrill/planner/Showing.java
@@ -117,7 +117,8 @@
         StringBuilder page = new StringBuilder();
         page.append("<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>").append(escaped(title))
                 .append("</title>\n<style>\n"
-                + "body{font:15px/1.45 system-ui,sans-serif;color:#222;max-width:60rem;margin:2rem auto;padding:0 1rem}\n"
+                + "body{font:15px/1.45 system-ui,sans-serif;color:#222;max-width:60rem;margin:2rem "
+                + "auto;padding:0 1rem}\n"
                 + "h1{font-size:1.6rem}h2{font-size:1.25rem;margin-top:2.5rem;border-bottom:1px solid #ccc}\n"
                 + "h3{font-size:1rem;margin-bottom:.3rem}\n"
                 + "table{border-collapse:collapse;font-size:.85rem;font-variant-numeric:tabular-nums}\n"
@@ -159,7 +160,8 @@
             YIntervalSeries line = new YIntervalSeries(each.name());
             for (int i = 0; i < each.x().length; i++) {
                 double y = each.y()[i];
-                line.add(each.x()[i], y, each.low() == null ? y : each.low()[i], each.high() == null ? y : each.high()[i]);
+                line.add(each.x()[i], y, each.low() == null ? y : each.low()[i], each.high() == null ? y
+                        : each.high()[i]);
             }
             data.addSeries(line);
         }
--- a/lab/src/main/java/vetchrill/planner/Sizing.java
+++ b/lab/src/main/java/vetchrill/planner/Sizing.java
@@ -16,7 +16,9 @@
     private static final int MOST = 2_000;
     private static final int MIX_STEPS = 4;
 
-    /** A fleet of so many of each kind, and the service that the goal's load gets there, worst over what may be lost. */
+    /**
+     * A fleet of so many of each kind, and the service that the goal's load gets there, worst over what may be lost.
+     */
     private record Tried(Map<String, Integer> counts, double price, Spread service, String worst) {
         int relays() {
             return counts.values().stream().mapToInt(Integer::intValue).sum();
@@ -59,7 +61,8 @@
             answer.holds = false;
             Tried most = tried.values().stream().max((a, b) -> Double.compare(a.service.mean(), b.service.mean()))
                     .orElseThrow();
-            answer.remark(String.format(Locale.ROOT, "no size up to %d relays meets it: the best found, %d relays, gets "
+            answer.remark(String.format(Locale.ROOT,
+                    "no size up to %d relays meets it: the best found, %d relays, gets "
                     + "%.3f", MOST, most.relays(), most.service.mean()));
         } else {
             tell(answer, best, enough);
@@ -67,7 +70,8 @@
         Answer.Table table = answer.table("All sizes that were played", "relays", "by kind", "price", "service", "from",
                 "to", "worst with");
         tried.values().stream().sorted((a, b) -> a.relays() - b.relays()).forEach(each -> table.row(each.relays(),
-                words(each.counts), each.price, each.service.mean(), each.service.low(), each.service.high(), each.worst));
+                words(each.counts), each.price, each.service.mean(), each.service.low(), each.service.high(),
+                        each.worst));
         curve(answer);
         basis.tell(answer);
         return answer;
@@ -80,13 +84,15 @@
             table.row(zone.name(), words(zone.relays()));
         }
         table.row("all", words(best.counts));
-        Answer.Table ways = answer.table("The cheapest of each way", "by kind", "relays", "price", "service", "from", "to");
+        Answer.Table ways = answer.table("The cheapest of each way", "by kind", "relays", "price", "service", "from",
+                "to");
         for (Tried each : enough) {
             ways.row(words(each.counts), each.relays(), each.price, each.service.mean(), each.service.low(),
                     each.service.high());
         }
         String kind = best.counts.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
-        Answer.Table next = answer.table("One relay of kind " + kind + " less or more", "relays", "service", "from", "to",
+        Answer.Table next = answer.table("One relay of kind " + kind + " less or more", "relays", "service", "from",
+                "to",
                 "meets the goal");
         for (int off = -1; off <= 1; off++) {
             Map<String, Integer> counts = new LinkedHashMap<>(best.counts);
@@ -112,7 +118,8 @@
                 break;
             }
         }
-        answer.remark(String.format(Locale.ROOT, "%d relays, from %d to %d as sure as nine in ten over %d seeds; the fleet "
+        answer.remark(String.format(Locale.ROOT,
+                "%d relays, from %d to %d as sure as nine in ten over %d seeds; the fleet "
                 + "has %d", best.relays(), low, high, sweep.seeds, basis.fleet.relays()));
     }
 
--- a/lab/src/main/java/vetchrill/standin/Interpreter.java
+++ b/lab/src/main/java/vetchrill/standin/Interpreter.java
@@ -14,8 +14,8 @@
 import java.util.List;
 
 /**
- * The interpreter's side of its link: it takes commands, numbers notices and keeps the last of them for whoever connects
- * again. How work is done is left to whoever makes it.
+ * The interpreter's side of its link: it takes commands, numbers notices and keeps the last of them for whoever
+ * connects again. How work is done is left to whoever makes it.
  */
 public final class Interpreter implements Closeable {
     /** Called on the link's thread. */
@@ -25,7 +25,10 @@
         /** The gauges as words between blanks; null to leave the question unanswered. */
         String gauges();
 
-        /** A link was opened by someone who has read the notices up to {@code lastRead}; false to withhold the banner. */
+        /**
+         * A link was opened by someone who has read the notices up to {@code lastRead}; false to withhold the
+         * banner.
+         */
         default boolean connected(int lastRead) {
             return true;
         }
@@ -47,16 +50,10 @@
 
     /** {@code fresh} is told as a start of just now, else it has run for a minute. */
     public Interpreter(Work work, boolean fresh) throws IOException {
-        this(work, fresh, 0);
-    }
-
-    public Interpreter(Work work, boolean fresh, int port) throws IOException {
         this.work = work;
         this.fresh = fresh;
         started = fresh ? 0 : System.nanoTime() - 60_000_000_000L;
-        server = new ServerSocket();
-        server.setReuseAddress(true);
-        server.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port), 50);
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Peers.accept(server, this::talk);
     }
 
@@ -98,7 +95,7 @@
     }
 
     /** The same interpreter at another address: its notices and their numbers carry on. */
-    public synchronized Interpreter moved() throws IOException {
+    public synchronized Interpreter moved(Work work) throws IOException {
         Interpreter to = new Interpreter(work, fresh);
         synchronized (to) {
             to.kept.addAll(kept);
--- a/lab/src/main/java/vetchrill/standin/Rig.java
+++ b/lab/src/main/java/vetchrill/standin/Rig.java
@@ -31,9 +31,9 @@
 import vetchrill.model.Tally;
 
 /**
- * A small fleet in real time: real instances as processes on loopback, with this project's interpreter, membership service
- * and client stubs. It is open loop: first tries are drawn ahead and go out at their times whatever has become of those
- * before them. One thread owns all that the stubs know; it says so when it was late itself.
+ * A small fleet in real time: real instances as processes on loopback, with this project's interpreter, membership
+ * service and client stubs. It is open loop: first tries are drawn ahead and go out at their times whatever has
+ * become of those before them. One thread owns all that the stubs know; it says so when it was late itself.
  */
 public final class Rig implements Closeable {
     /** First tries later than this at the 99th percentile make a run void, in tenths of a millisecond. */
@@ -193,7 +193,8 @@
     }
 
     private void at(long time, Runnable act) {
-        loop.schedule(() -> guarded(act), Math.max(0, origin + time * 100_000 - System.nanoTime()), TimeUnit.NANOSECONDS);
+        loop.schedule(() -> guarded(act), Math.max(0, origin + time * 100_000 - System.nanoTime()),
+                TimeUnit.NANOSECONDS);
     }
 
     private void soon(Runnable act) {
@@ -289,7 +290,8 @@
         }
         return new Played(tally, List.copyOf(arrived), folder.resolve("captures"),
                 lateness.getTotalCount() == 0 ? 0 : lateness.getValueAtPercentile(99),
-                lateness.getTotalCount() > 0 && lateness.getValueAtPercentile(99) > LATE, wrongResults, doubles, changed);
+                lateness.getTotalCount() > 0 && lateness.getValueAtPercentile(99) > LATE, wrongResults, doubles,
+                        changed);
     }
 
     // The load.
@@ -391,7 +393,8 @@
             Line line = line(sent.stub, sent.seat);
             int stream = ++line.streams;
             line.open.put(stream, sent);
-            line.socket.getOutputStream().write(StubFrames.frame(StubFrames.EXCHANGE, stream, StubFrames.payload(task.body,
+            line.socket.getOutputStream().write(StubFrames.frame(StubFrames.EXCHANGE, stream,
+                    StubFrames.payload(task.body,
                     "method", fleet.groups.get(task.group).name(), "rid", sent.id, "t0", Long.toString(stamp),
                     "peer", Integer.toString(sent.stub.number), "acct", fleet.customers.get(task.customer).name(),
                     "mem", String.format(Locale.ROOT, "%.3f", task.kb), "prio", "0.5",
--- a/lab/src/main/java/vetchrill/standin/Seat.java
+++ b/lab/src/main/java/vetchrill/standin/Seat.java
@@ -18,7 +18,9 @@
 import vetchrill.fleet.Fleet.Kind;
 import vetchrill.protocol.DeploymentReader;
 
-/** Where one relay stands: its machine, its interpreter, and the real instance, which may be started again and again. */
+/**
+ * Where one relay stands: its machine, its interpreter, and the real instance, which may be started again and again.
+ */
 final class Seat implements Closeable {
     /** What the interpreter needs to know of an exchange that may come to it. */
     record Due(double work, byte[] body) {
@@ -101,7 +103,8 @@
         told.set("settings", Briefing.of(fleet, kind, false));
         Path file = folder.resolve(name + "-" + life + ".json");
         Files.writeString(file, told.toString());
-        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-XX:+UseSerialGC",
+        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java",
+                "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xms16m", "-Xmx96m",
                 "--add-opens=java.base/java.nio=ALL-UNNAMED", "-cp", classPath()));
         if (recorded) {
--- a/lab/src/main/java/vetchrill/tool/CaptureCommand.java
+++ b/lab/src/main/java/vetchrill/tool/CaptureCommand.java
@@ -18,7 +18,8 @@
     @Override
     public Integer call() {
         List<Capture> captures = Files.isDirectory(where) ? Capture.readAll(where) : List.of(Capture.read(where));
-        System.out.printf("%-28s %-6s %-12s %-8s %9s %7s %6s %s%n", "file", "relay", "zone", "kind", "exchanges", "looks",
+        System.out.printf("%-28s %-6s %-12s %-8s %9s %7s %6s %s%n", "file", "relay", "zone", "kind", "exchanges",
+                "looks",
                 "lost", "end");
         for (Capture each : captures) {
             System.out.printf("%-28s %-6s %-12s %-8s %9d %7d %6d %s%n", each.file.getFileName(), each.name, each.zone,
--- a/lab/src/main/java/vetchrill/tool/PlanCommand.java
+++ b/lab/src/main/java/vetchrill/tool/PlanCommand.java
@@ -37,7 +37,8 @@
 
     @Override
     public void run() {
-        throw new picocli.CommandLine.ParameterException(spec.commandLine(), "plan needs one of limits, size, lose, report");
+        throw new picocli.CommandLine.ParameterException(spec.commandLine(),
+                "plan needs one of limits, size, lose, report");
     }
 
     /** What all questions have in common. */
@@ -45,7 +46,8 @@
         @Parameters(index = "0", paramLabel = "FLEET", description = "The fleet (HCL).")
         Path fleet;
 
-        @Option(names = "--capture", paramLabel = "FOLDER", description = "Captures of the fleet's relays; what they tell "
+        @Option(names = "--capture", paramLabel = "FOLDER",
+                description = "Captures of the fleet's relays; what they tell "
                 + "goes before what the file says.")
         Path capture;
 
@@ -74,14 +76,16 @@
             @Option(names = "--json", description = "Answer in JSON.")
             boolean json;
 
-            @Option(names = "--html", paramLabel = "FILE", description = "Answer as a page in FILE, nothing else needed.")
+            @Option(names = "--html", paramLabel = "FILE",
+                    description = "Answer as a page in FILE, nothing else needed.")
             Path html;
         }
 
         Sweep sweep() {
             if (seeds < 1 || seeds > 1_000 || threads < 1 || threads > 1_024 || settle < 0 || seconds <= settle + 1
                     || seconds > 3_600) {
-                throw new BadUse("--seeds should be 1 to 1000, --threads 1 to 1024, --seconds at most 3600 and two more "
+                throw new BadUse("--seeds should be 1 to 1000, --threads 1 to 1024, --seconds at most "
+                        + "3600 and two more "
                         + "than --settle");
             }
             return new Sweep(threads, seeds, seconds * 10_000L, settle * 10_000L, this::progress);
@@ -152,7 +156,8 @@
 
     @Command(name = "lose", mixinStandardHelpOptions = true,
             description = "What the loss of a zone does: alone, in each phase of a deploy, and with its return.")
-    int lose(@Mixin Common common, @Option(names = "--zones", paramLabel = "A,B", description = "A set of zones that go "
+    int lose(@Mixin Common common, @Option(names = "--zones", paramLabel = "A,B",
+            description = "A set of zones that go "
             + "together; may be given again for another. Each zone by itself where not given.") List<String> zones,
             @Option(names = "--load", defaultValue = "1", description = "The load as a multiple of that of now "
                     + "(${DEFAULT-VALUE}).") double load) throws IOException {
@@ -166,7 +171,8 @@
     }
 
     @Command(name = "report", mixinStandardHelpOptions = true, description = "All of it: limits, sizes and losses.")
-    int report(@Mixin Common common, @Option(names = "--goals", paramLabel = "GOALS", description = "Goals to size for.")
+    int report(@Mixin Common common, @Option(names = "--goals", paramLabel = "GOALS",
+            description = "Goals to size for.")
             Path goals) throws IOException {
         Fleet fleet = FleetFile.read(common.fleet);
         List<Goal> all = goals == null ? List.of() : Goal.read(Block.read(goals), fleet);
--- a/lab/src/main/java/vetchrill/tool/ProveCommand.java
+++ b/lab/src/main/java/vetchrill/tool/ProveCommand.java
@@ -34,13 +34,21 @@
 import vetchrill.standin.Rig;
 
 @Command(name = "prove", mixinStandardHelpOptions = true,
-        description = "Play real instances on loopback, capture them, and hold what the planner says of them against what "
+        description = "Play real instances on loopback, capture them, and hold what the planner says of "
+                + "them against what "
                 + "their clients counted.")
 final class ProveCommand implements Callable<Integer> {
     private static final System.Logger LOG = System.getLogger("vetchrill.prove");
 
     /** A run that was void is played again, so often at most. */
     private static final int TRIES = 3;
+    /**
+     * The load rises to its height after so long, in tenths of a millisecond, and is counted a second later: a
+     * program that has just been started is slow at first, and where retries can hold a fleet down that decides the
+     * whole run.
+     */
+    private static final long RISEN = 40_000;
+    private static final double BEFORE = 0.4;
 
     @Parameters(paramLabel = "FLEET", description = "The fleet to play, with all that the planner is then not told.")
     private Path file;
@@ -51,7 +59,7 @@
     @Option(names = "--first-seed", defaultValue = "1", description = "The first of the seeds (${DEFAULT-VALUE}).")
     private int firstSeed;
 
-    @Option(names = "--seconds", defaultValue = "14", description = "Load in each run (${DEFAULT-VALUE}).")
+    @Option(names = "--seconds", defaultValue = "18", description = "Load in each run (${DEFAULT-VALUE}).")
     private int seconds;
 
     @Option(names = "--case", description = "Only cases whose name has this in it.")
@@ -63,9 +71,27 @@
     @Option(names = "--threads", description = "Worlds played at once; all cores where not given.")
     private int threads = Runtime.getRuntime().availableProcessors();
 
-    @Option(names = "--beside", defaultValue = "3", description = "Fleets played side by side (${DEFAULT-VALUE}).")
+    @Option(names = "--beside", defaultValue = "2", description = "Fleets played side by side (${DEFAULT-VALUE}).")
     private int beside;
 
+    /** What came out, for whoever asks after the call. */
+    int runs;
+    int misses;
+    double worst;
+    double mean;
+    double otherWorst;
+    double otherMean;
+
+    /** For a caller that is not the command line. */
+    void of(Path file, int seeds, int firstSeed) {
+        this.file = file;
+        this.seeds = seeds;
+        this.firstSeed = firstSeed;
+        seconds = 18;
+        beside = 2;
+        folder = Path.of("lab/target/prove");
+    }
+
     private record Case(String name, double load, Retry retry, List<Trouble> troubles) {
     }
 
@@ -79,10 +105,7 @@
             throw new BadUse(file + ": to be played it must tell " + String.join(", ", world.wanting()));
         }
         List<Outcome> outcomes = new ArrayList<>();
-        int misses = 0;
-        double worst = 0;
         double sum = 0;
-        double worstCross = 0;
         double sumCross = 0;
         int cross = 0;
         double worstTries = 0;
@@ -93,7 +116,7 @@
             thread.setDaemon(true);
             return thread;
         });
-        try (Sweep sweep = new Sweep(threads, 8, seconds * 10_000L, 20_000, () -> { })) {
+        try (Sweep sweep = new Sweep(threads, 8, seconds * 10_000L, RISEN + 10_000, () -> { })) {
             List<Future<Outcome>> playing = new ArrayList<>();
             for (Case each : cases(world)) {
                 for (int seed = firstSeed; seed < firstSeed + seeds; seed++) {
@@ -124,7 +147,7 @@
                         Demand demand = other.fit.times(each.load / other.of.load);
                         Spread there = sweep.service(sweep.runs(with(other.fit.fleet, each), demand));
                         double off = 100 * (there.mean() - outcome.truth);
-                        worstCross = Math.max(worstCross, Math.abs(off));
+                        otherWorst = Math.max(otherWorst, Math.abs(off));
                         sumCross += Math.abs(off);
                         cross++;
                         crossed = String.format("%7.3f %+7.1f", there.mean(), off);
@@ -146,15 +169,18 @@
             rigs.shutdownNow();
         }
         System.out.printf("runs that were void and are not in the table: %d%n", misses);
+        runs = outcomes.size();
+        mean = sum / Math.max(1, runs);
+        otherMean = sumCross / Math.max(1, cross);
         System.out.printf("proof: runs=%d worst_error_points=%.1f mean_error_points=%.1f other_load_worst_points=%.1f "
-                + "other_load_mean_points=%.1f further_tries_worst_error=%.3f%n", outcomes.size(), worst,
-                sum / Math.max(1, outcomes.size()), worstCross, sumCross / Math.max(1, cross), worstTries);
+                + "other_load_mean_points=%.1f further_tries_worst_error=%.3f%n", runs, worst, mean,
+                otherWorst, otherMean, worstTries);
         return misses == 0 && !outcomes.isEmpty() ? 0 : 1;
     }
 
     private List<Case> cases(Fleet world) {
         Set<String> zone = Set.of(world.zones.get(world.zones.size() / 2).name());
-        long lost = 50_000;
+        long lost = RISEN + 40_000;
         List<Case> cases = new ArrayList<>();
         for (Retry retry : List.of(Retry.LIMITED, Retry.UNLIMITED)) {
             String says = retry == Retry.UNLIMITED ? ", retries without limit" : "";
@@ -164,7 +190,7 @@
             cases.add(new Case("80%, zone lost" + says, 0.8, retry,
                     List.of(new Trouble.Lose(lost, Long.MAX_VALUE, zone))));
             cases.add(new Case("70%, zone lost in deploy" + says, 0.7, retry,
-                    List.of(new Trouble.Roll(25_000), new Trouble.Lose(lost, Long.MAX_VALUE, zone))));
+                    List.of(new Trouble.Roll(RISEN + 15_000), new Trouble.Lose(lost, Long.MAX_VALUE, zone))));
         }
         return cases;
     }
@@ -185,7 +211,8 @@
                 kind.speedSpread(), Double.NaN, Double.NaN, Double.NaN, kind.memoryKb(), kind.table(), kind.tableTax(),
                 kind.connect(), kind.descriptors(), kind.coldShare(), kind.warmUp(), kind.price())).toList();
         List<Group> groups = fleet.groups.stream().map(group -> new Group(group.name(), group.effect(), group.sloTime(),
-                group.asyncTimeout(), group.benefit(), group.lateShare(), Double.NaN, Double.NaN, Double.NaN, Double.NaN,
+                group.asyncTimeout(), group.benefit(), group.lateShare(), Double.NaN, Double.NaN, Double.NaN,
+                        Double.NaN,
                 64, group.calls(), group.withoutCall())).toList();
         return fleet.fitted(kinds, groups, new Load(Double.NaN, 0, fleet.load.period()), new Subjects(-1, Double.NaN));
     }
@@ -205,7 +232,8 @@
         empty(run);
         Fleet playing = with(world.withLoad(world.fullLoad() * each.load), each);
         Played played;
-        try (Rig rig = new Rig(playing, new Demand.Told(playing), seconds * 10_000L, seed, run, true)) {
+        try (Rig rig = new Rig(playing, Demand.rising(new Demand.Told(playing), BEFORE, RISEN), seconds * 10_000L,
+                seed, run, true)) {
             played = rig.play();
         }
         if (played.wrongResults() + played.doubleRuns() + played.changedBodies() > 0) {
@@ -218,7 +246,7 @@
             return null;
         }
         Fit fit = new Fit(without(with(world, each)), Capture.readAll(played.captures()));
-        return new Outcome(each, seed, played, fit, played.tally().service(2, seconds));
+        return new Outcome(each, seed, played, fit, played.tally().service((int) (RISEN / 10_000) + 1, seconds));
     }
 
     /** All tries for each first one that came to a relay: as the clients know it, and as the rows were read. */
--- a/lab/src/main/java/vetchrill/tool/ServeCommand.java
+++ b/lab/src/main/java/vetchrill/tool/ServeCommand.java
@@ -19,7 +19,8 @@
         description = "Be one instance on sockets, as GW_CONFIG says, until SIGTERM. An operator's file may switch on "
                 + "what the platform does not know.")
 final class ServeCommand implements Callable<Integer> {
-    @Option(names = "--operator", paramLabel = "FILE", description = "The operator's own file (HCL); see deploy/operator.hcl.")
+    @Option(names = "--operator", paramLabel = "FILE",
+            description = "The operator's own file (HCL); see deploy/operator.hcl.")
     private Path operator;
 
     @Override
--- a/lab/src/main/java/vetchrill/tool/ToolLog.java
+++ b/lab/src/main/java/vetchrill/tool/ToolLog.java
@@ -14,8 +14,8 @@
 import org.slf4j.spi.LoggingEventBuilder;
 
 /**
- * System.Logger for the tools, with logback behind it: as lines of text, or as lines of JSON in which what was handed over
- * as {@link Field} stands as a field of its own and not in a sentence.
+ * System.Logger for the tools, with logback behind it: as lines of text, or as lines of JSON in which what was handed
+ * over as {@link Field} stands as a field of its own and not in a sentence.
  */
 public final class ToolLog extends System.LoggerFinder {
     /** The properties by which the command line says what it wants, before the first line is logged. */
--- a/lab/src/main/java/vetchrill/tool/TryCommand.java
+++ b/lab/src/main/java/vetchrill/tool/TryCommand.java
@@ -22,10 +22,12 @@
 import vetchrill.standin.Rig;
 
 @Command(name = "try", mixinStandardHelpOptions = true,
-        description = "Run real instances on loopback with this project's own stand-ins, and show second by second what "
+        description = "Run real instances on loopback with this project's own stand-ins, and show second "
+                + "by second what "
                 + "becomes of what is asked. Stops by itself, or at Ctrl-C.")
 final class TryCommand implements Callable<Integer> {
-    @Option(names = "--fleet", paramLabel = "FILE", description = "The fleet to run (HCL); a small one where not given.")
+    @Option(names = "--fleet", paramLabel = "FILE",
+            description = "The fleet to run (HCL); a small one where not given.")
     private Path file;
 
     @Option(names = "--seconds", defaultValue = "20", description = "How long (${DEFAULT-VALUE}).")
@@ -34,8 +36,10 @@
     @Option(names = "--load", defaultValue = "0.8", description = "Of what the cores can do (${DEFAULT-VALUE}).")
     private double load;
 
-    @Option(names = "--trouble", paramLabel = "burst|slow|reset", description = "What goes wrong in the middle third: three "
-            + "times the load; half of the machines four times slower; or connections and links reset five times a second.")
+    @Option(names = "--trouble", paramLabel = "burst|slow|reset",
+            description = "What goes wrong in the middle third: three "
+            + "times the load; half of the machines four times slower; or connections and links reset "
+            + "five times a second.")
     private String trouble;
 
     @Option(names = "--seed", defaultValue = "1", description = "Of all that is drawn (${DEFAULT-VALUE}).")
@@ -67,7 +71,8 @@
         Fleet playing = fleet.withLoad(fleet.fullLoad() * load).withTroubles(troubles);
         Path where = folder == null ? Files.createTempDirectory("vetchrill-try") : folder;
         try (Rig rig = new Rig(playing, new Demand.Told(playing), seconds * 10_000L, seed, where, folder != null)) {
-            System.out.printf("%d relays, %d stubs, %.0f first tries a second, %.0f%% of what the cores can do; starting%n",
+            System.out.printf("%d relays, %d stubs, %.0f first tries a second, %.0f%% of what the cores "
+                    + "can do; starting%n",
                     fleet.relays(), fleet.stubs(), playing.load.perS(), 100 * load);
             rig.start();
             rig.go();
@@ -122,10 +127,12 @@
 
     private void sum(Rig rig, Played played) {
         Tally tally = played.tally();
-        System.out.printf("completed %d, denied in the end %d, terminated or unanswered %d; %.1f%% of benefit within the SLO "
+        System.out.printf("completed %d, denied in the end %d, terminated or unanswered %d; %.1f%% of "
+                + "benefit within the SLO "
                 + "time; %.2f tries for each first one%n", tally.completed(), tally.endedDenied(), tally.failed(),
                 100 * tally.service(0, tally.seconds), tally.inflation(0, tally.seconds));
-        System.out.printf("wrong results %d, double runs %d, changed bodies %d; the load itself was %.1f ms late (p99)%s%n",
+        System.out.printf("wrong results %d, double runs %d, changed bodies %d; the load itself was %.1f "
+                + "ms late (p99)%s%n",
                 played.wrongResults(), played.doubleRuns(), played.changedBodies(), played.late() / 10.0,
                 played.invalid() ? ": too late, this run shows nothing" : "");
     }
--- a/lab/src/main/java/vetchrill/tool/WirehostCommand.java
+++ b/lab/src/main/java/vetchrill/tool/WirehostCommand.java
@@ -9,7 +9,8 @@
 import vetchrill.wire.WireHost;
 
 @Command(name = "wirehost", mixinStandardHelpOptions = true,
-        description = "Decide for the instances on the wire: batches on standard input, replies on standard output, until "
+        description = "Decide for the instances on the wire: batches on standard input, replies on "
+                + "standard output, until "
                 + "the input ends.")
 final class WirehostCommand implements Callable<Integer> {
     @Override
--- a/instance/src/test/java/vetchrill/StandIns.java
+++ b/lab/src/test/java/vetchrill/StandIns.java
@@ -1,11 +1,9 @@
 package vetchrill;
 
-import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -19,6 +17,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import vetchrill.standin.StubFrames;
 
 /** The parties that an instance speaks to, on loopback ports that the system chooses, and the instance itself. */
 public final class StandIns implements Closeable {
@@ -172,113 +171,87 @@
         for (Closeable each : open) {
             each.close();
         }
-        interpreter.server.close();
-        members.server.close();
+        interpreter.it.close();
+        members.it.close();
     }
 
-    /** Answers CONNECT and TOP by itself, unless told not to; runs are answered by the test. */
+    /** The lab's interpreter, whose runs are answered by the test. */
     public static final class Interpreter {
-        final ServerSocket server;
         /** APPLY and CONNECT as they came, the body after the line. */
         public final BlockingQueue<String> commands = new LinkedBlockingQueue<>();
         public volatile boolean silent;
         public volatile boolean withholdsBanner;
         public volatile String gauges = "0.5 1 0.1 1";
-        private volatile Socket link;
-        private int numbered;
-        private final List<String> kept = new ArrayList<>();
+        final vetchrill.standin.Interpreter it;
 
         Interpreter() throws IOException {
-            server = new ServerSocket(0, 50, LOOPBACK);
-            accepting(server, socket -> {
-                link = socket;
-                InputStream in = socket.getInputStream();
-                for (String line = line(in); line != null; line = line(in)) {
-                    String[] words = line.split(" ");
-                    if (words[0].equals("APPLY")) {
-                        byte[] body = in.readNBytes(Integer.parseInt(words[3]) + 2);
-                        commands.add(line + "\n" + new String(body, 0, body.length - 2, StandardCharsets.ISO_8859_1));
-                    } else if (words[0].equals("TOP") && !silent) {
-                        write("TOPS " + words[1] + " " + gauges + "\r\n");
-                    } else if (words[0].equals("CONNECT")) {
-                        commands.add(line);
-                        if (!withholdsBanner) {
-                            banner(Integer.parseInt(words[1]));
-                        }
-                    }
+            it = new vetchrill.standin.Interpreter(work(), false);
+        }
+
+        private Interpreter(vetchrill.standin.Interpreter from) throws IOException {
+            it = from.moved(work());
+        }
+
+        private vetchrill.standin.Interpreter.Work work() {
+            return new vetchrill.standin.Interpreter.Work() {
+                @Override
+                public void apply(String id, String group, byte[] body) {
+                    commands.add("APPLY " + id + " " + group + " " + body.length + "\n"
+                            + new String(body, StandardCharsets.ISO_8859_1));
+                }
+
+                @Override
+                public String gauges() {
+                    return silent ? null : gauges;
                 }
-            });
+
+                @Override
+                public boolean connected(int lastRead) {
+                    commands.add("CONNECT " + lastRead);
+                    return !withholdsBanner;
+                }
+            };
         }
 
         /** The same interpreter at another address: its notices and their numbers carry on. */
-        public synchronized Interpreter moved() throws IOException {
-            Interpreter to = new Interpreter();
-            to.kept.addAll(kept);
-            to.numbered = numbered;
-            return to;
+        public Interpreter moved() throws IOException {
+            return new Interpreter(it);
         }
 
         public int port() {
-            return server.getLocalPort();
+            return it.port();
         }
 
-        public synchronized void banner(int after) throws IOException {
-            write("BANNER old 5000\r\n");
-            for (String notice : kept.subList(after, kept.size())) {
-                write(notice);
-            }
+        public void banner(int after) throws IOException {
+            it.banner(after);
         }
 
         /** Tells how a run ended; kept while there is no link. */
-        public synchronized void value(String id, String end, String result) throws IOException {
-            String notice = "VALUE " + ++numbered + " " + id + " " + end + " 12.5 " + result.length() + "\r\n" + result
-                    + "\r\n";
-            kept.add(notice);
-            if (link != null && !link.isClosed()) {
-                write(notice);
-            }
+        public void value(String id, String end, String result) {
+            it.value(id, end, 125, result.getBytes(StandardCharsets.ISO_8859_1));
         }
 
-        public synchronized void write(String text) throws IOException {
-            link.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        public void write(String text) throws IOException {
+            it.write(text);
         }
 
         public void cut() throws IOException {
-            link.close();
+            it.cut();
         }
     }
 
-    /** Takes reports, and answers them with a status that the test may change; 0 for no answer. */
+    /** The lab's membership service, with what it was told as the tests want to read it. */
     public static final class Members {
-        final ServerSocket server;
         public final BlockingQueue<String> phases = new LinkedBlockingQueue<>();
-        public volatile int status = 204;
+        public final vetchrill.standin.Membership it;
 
         public Members() throws IOException {
-            server = new ServerSocket(0, 50, LOOPBACK);
-            accepting(server, socket -> {
-                InputStream in = socket.getInputStream();
-                for (String line = line(in); line != null; line = line(in)) {
-                    String call = line;
-                    int length = 0;
-                    for (line = line(in); line != null && !line.isEmpty(); line = line(in)) {
-                        if (line.startsWith("Content-Length: ")) {
-                            length = Integer.parseInt(line.substring(16));
-                        }
-                    }
-                    String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
-                    phases.add(call.equals("PUT /members/n1 HTTP/1.1") ? body.replaceAll("\\W|phase", "") : call);
-                    if (status == 0) {
-                        continue;
-                    }
-                    socket.getOutputStream().write(("HTTP/1.1 " + status + " Told\r\nContent-Length: 0\r\n\r\n")
-                            .getBytes(StandardCharsets.UTF_8));
-                }
-            });
+            it = new vetchrill.standin.Membership((name, up, call) ->
+                    phases.add(!name.equals("n1") ? call : up ? "UP" : "OUT"));
         }
 
         int port() {
-            return server.getLocalPort();
+            return it.port();
         }
 
         /** Skips reports until one of this phase comes. */
@@ -307,32 +280,16 @@
             in = new DataInputStream(socket.getInputStream());
         }
 
-        public static byte[] frame(int type, int stream, byte[] payload) throws IOException {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            DataOutputStream data = new DataOutputStream(bytes);
-            data.writeInt(5 + payload.length);
-            data.writeByte(type);
-            data.writeInt(stream);
-            data.write(payload);
-            return bytes.toByteArray();
+        public static byte[] frame(int type, int stream, byte[] payload) {
+            return StubFrames.frame(type, stream, payload);
         }
 
         /** Fields given as name, value, name, value. */
-        public static byte[] payload(String body, String... fields) throws IOException {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            DataOutputStream data = new DataOutputStream(bytes);
-            data.writeByte(fields.length / 2);
-            for (int i = 0; i < fields.length; i += 2) {
-                data.writeByte(fields[i].length());
-                data.writeBytes(fields[i]);
-                data.writeShort(fields[i + 1].length());
-                data.writeBytes(fields[i + 1]);
-            }
-            data.write(body.getBytes(StandardCharsets.ISO_8859_1));
-            return bytes.toByteArray();
+        public static byte[] payload(String body, String... fields) {
+            return StubFrames.payload(body.getBytes(StandardCharsets.ISO_8859_1), fields);
         }
 
-        public static byte[] exchange(int stream, String group, String id, String body) throws IOException {
+        public static byte[] exchange(int stream, String group, String id, String body) {
             return frame(2, stream, payload(body, "method", group, "rid", id, "t0",
                     Long.toString(System.currentTimeMillis()), "peer", "4", "acct", "acme", "mem", "24.5",
                     "prio", "0.6250"));
@@ -374,43 +331,4 @@
         }
     }
 
-    private interface Talk {
-        void with(Socket socket) throws IOException;
-    }
-
-    private static void accepting(ServerSocket server, Talk talk) {
-        Thread thread = new Thread(() -> {
-            try {
-                while (true) {
-                    Socket socket = server.accept();
-                    Thread each = new Thread(() -> {
-                        try (socket) {
-                            talk.with(socket);
-                        } catch (IOException e) {
-                            // The instance or the test has closed it.
-                        }
-                    });
-                    each.setDaemon(true);
-                    each.start();
-                }
-            } catch (IOException e) {
-                // Closed at the end of the test.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private static String line(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int c = in.read(); c != '\n'; c = in.read()) {
-            if (c < 0) {
-                return null;
-            }
-            if (c != '\r') {
-                line.append((char) c);
-            }
-        }
-        return line.toString();
-    }
 }
--- /dev/null
+++ b/lab/src/test/java/vetchrill/capture/CaptureTest.java
@@ -0,0 +1,211 @@
+package vetchrill.capture;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.testng.annotations.Test;
+import vetchrill.hcl.Block;
+import vetchrill.hcl.Mistakes;
+import vetchrill.routing.Recorder;
+
+@Test
+public class CaptureTest {
+    private static final String SETTINGS = "{\"categories\":[{\"name\":\"look\",\"effect\":\"free\",\"aimMs\":400,"
+            + "\"deadlineMs\":1000}],\"customers\":[{\"name\":\"acme\"}],\"familyInfo\":{\"cores\":2}}";
+
+    private static CaptureOrder order(Path folder, String more) {
+        return CaptureOrder.in(Block.parse("o.hcl", "capture {\n directory = \"" + folder + "\"\n zone = \"z\"\n"
+                + " kind = \"k\"\n subject_key = \"000102030405060708090a0b0c0d0e0f\"\n flush_ms = 10\n" + more
+                        + "}\n"));
+    }
+
+    static CaptureWriter writer(Path folder, String name, String more) throws IOException {
+        return new CaptureWriter(order(folder, more), Map.of("name", name, "started", "1", "settings", SETTINGS));
+    }
+
+    /** One row: a try of {@code subject} that comes at a time and is answered 20 ms later. */
+    static void put(CaptureWriter writer, long at, long subject, byte answer) {
+        Recorder.ExchangeRow row = writer.claimExchange();
+        if (row != null) {
+            row.arrived = at;
+            row.heard = at + 100;
+            row.stub = 1;
+            row.subject = subject;
+            row.kb = 20 + subject % 100;
+            row.bytes = (int) (subject % 2_000);
+            row.begun = answer == Recorder.COMPLETED ? at + 100 : 0;
+            row.took = answer == Recorder.COMPLETED ? 100 : 0;
+            row.answered = at + 200;
+            row.answer = answer;
+            writer.put(row);
+        }
+    }
+
+    private static Path folder() throws IOException {
+        return Files.createTempDirectory("captures");
+    }
+
+    private static byte[] written(int rows) throws IOException, InterruptedException {
+        CaptureWriter writer = writer(folder(), "r1", "");
+        for (int i = 0; i < rows; i++) {
+            put(writer, 1_000_000 + 50L * i, 1 + i, Recorder.COMPLETED);
+            if (i % 20 == 19) {
+                Thread.sleep(15);
+            }
+        }
+        writer.close();
+        return Files.readAllBytes(writer.file());
+    }
+
+    public void whatWasPutIsReadBack() throws Exception {
+        Capture capture = Capture.read(Path.of("x"), written(100));
+        assertTrue(capture.whole);
+        assertEquals(capture.rows, 100);
+        assertEquals(capture.name, "r1");
+        assertEquals(capture.zone, "z");
+        for (int i = 0; i < 100; i++) {
+            assertEquals(capture.arrived[i], 1_000_000 + 50L * i);
+            assertEquals(capture.heard[i], capture.arrived[i] + 100);
+            assertEquals(capture.bytes[i], (1 + i) % 2_000);
+            assertEquals(capture.answer[i], Recorder.COMPLETED);
+        }
+    }
+
+    /** The relay is killed at any moment: what is left is read up to its last whole part, and says so. */
+    public void aFileCutAnywhereIsReadUpToItsLastWholePart() throws Exception {
+        byte[] all = written(60);
+        SplittableRandom chance = new SplittableRandom(1);
+        int most = 0;
+        for (int i = 0; i < 300; i++) {
+            int length = 1 + chance.nextInt(all.length - 1);
+            try {
+                Capture cut = Capture.read(Path.of("x"), java.util.Arrays.copyOf(all, length));
+                assertFalse(cut.whole && cut.cutBytes > 0, "cut at " + length);
+                assertTrue(cut.rows <= 60);
+                most = Math.max(most, cut.rows);
+            } catch (CaptureFault e) {
+                assertTrue(e.getMessage().endsWith("holds no whole part"), e.getMessage());
+            }
+        }
+        assertTrue(most > 0, "never read a row");
+    }
+
+    /** Never a wrong plan: one changed byte anywhere is found, or it was one that carries nothing. */
+    public void aDamagedFileIsRefused() throws Exception {
+        byte[] all = written(60);
+        SplittableRandom chance = new SplittableRandom(2);
+        for (int i = 0; i < 400; i++) {
+            byte[] damaged = all.clone();
+            int at = chance.nextInt(all.length);
+            damaged[at] ^= (byte) (1 << chance.nextInt(8));
+            try {
+                Capture read = Capture.read(Path.of("x"), damaged);
+                // A length that grew past the end looks like a cut, and is told as one.
+                assertTrue(read.cutBytes > 0, "not noticed at " + at);
+            } catch (CaptureFault e) {
+                assertTrue(e.getMessage().startsWith("x: "), e.getMessage());
+            }
+        }
+    }
+
+    public void whatFindsNoRoomIsCountedAndTheCountIsInTheFile() throws Exception {
+        CaptureWriter writer = writer(folder(), "r1", " ring_rows = 64\n");
+        int n = 0;
+        // Faster than any writer: the ring must fill.
+        while (n < 200_000) {
+            put(writer, 1_000_000 + n++, 1, Recorder.COMPLETED);
+        }
+        writer.close();
+        Capture capture = Capture.read(writer.file());
+        assertTrue(capture.lost > 0, "nothing was lost of " + n);
+        assertEquals(capture.rows + capture.lost, n);
+    }
+
+    public void aFileGrowsNoFurtherThanItMay() throws Exception {
+        CaptureWriter writer = writer(folder(), "r1", " most_mb = 1\n");
+        for (int i = 0; i < 60_000; i++) {
+            put(writer, 1_000_000 + i, 1 + i, Recorder.COMPLETED);
+            if (i % 4_000 == 0) {
+                Thread.sleep(20);
+            }
+        }
+        writer.close();
+        assertTrue(Files.size(writer.file()) < (1 << 20) + 10_000);
+        assertTrue(Capture.read(writer.file()).lost > 0);
+    }
+
+    /** Two relays, the clock of one 300 ms ahead: tries denied at one come to the other at once. */
+    public void clocksThatDifferAreFoundAndSetRight() throws Exception {
+        Path folder = folder();
+        CaptureWriter one = writer(folder, "r1", "");
+        CaptureWriter two = writer(folder, "r2", "");
+        for (int i = 0; i < 40; i++) {
+            long at = 1_000_000 + 1_000L * i;
+            boolean there = i % 2 == 0;
+            put(there ? one : two, at + (there ? 0 : 3_000), 1 + i, Recorder.DENIED);
+            put(there ? two : one, at + 220 + (there ? 3_000 : 0), 1 + i, Recorder.COMPLETED);
+        }
+        one.close();
+        two.close();
+        Merged merged = new Merged(Capture.readAll(folder));
+        assertTrue(merged.clocks.all());
+        assertEquals(merged.clocks.offset[1] - merged.clocks.offset[0], 3_000, 20.0);
+        assertEquals(merged.firstTries(), 40, 0.5);
+    }
+
+    public void clocksThatCannotBeComparedAreSaidToBe() throws Exception {
+        Path folder = folder();
+        for (String name : List.of("r1", "r2")) {
+            CaptureWriter writer = writer(folder, name, "");
+            for (int i = 0; i < 20; i++) {
+                put(writer, 1_000_000 + i * 100L, name.hashCode() + i, Recorder.COMPLETED);
+            }
+            writer.close();
+        }
+        Merged merged = new Merged(Capture.readAll(folder));
+        assertFalse(merged.clocks.all());
+        assertTrue(merged.remarks.stream().anyMatch(each -> each.contains("clocks could not all be compared")),
+                merged.remarks.toString());
+    }
+
+    /** An honest equal exchange after a result is a first try again; after a denial it is a further one. */
+    public void whatFollowsADenialIsAFurtherTryAndWhatFollowsAResultIsNot() throws Exception {
+        Path folder = folder();
+        CaptureWriter writer = writer(folder, "r1", "");
+        put(writer, 1_000_000, 7, Recorder.DENIED);
+        put(writer, 1_000_300, 7, Recorder.DENIED);
+        put(writer, 1_000_700, 7, Recorder.COMPLETED);
+        put(writer, 1_002_000, 7, Recorder.COMPLETED);
+        put(writer, 1_900_000, 7, Recorder.COMPLETED);
+        writer.close();
+        Merged merged = new Merged(Capture.readAll(folder));
+        List<Boolean> further = new ArrayList<>();
+        for (boolean each : merged.further) {
+            further.add(each);
+        }
+        assertEquals(further, List.of(false, true, true, false, false));
+    }
+
+    public void anOrderWithMistakesNamesThem() {
+        try {
+            Block root = Block.parse("o.hcl", "capture {\n directory = \"x\"\n zone = \"z\"\n subject_key = \"12\"\n"
+                    + " ring_rows = 3\n}\n");
+            CaptureOrder.in(root);
+            root.check();
+        } catch (Mistakes e) {
+            assertEquals(e.each, List.of("o.hcl:1: kind: is missing in capture, should be a text in quotes",
+                    "o.hcl:4: subject_key: should be 32 hexadecimal digits, the same on every relay",
+                    "o.hcl:5: ring_rows: is 3, should be a number from 64 to 1048576"));
+            return;
+        }
+        throw new AssertionError("taken as it is");
+    }
+}
--- a/instance/src/test/java/vetchrill/program/ServeTest.java
+++ b/lab/src/test/java/vetchrill/program/ServeTest.java
@@ -107,7 +107,7 @@
 
     public void reportsThatAreNeverAnsweredKeepNobodyWaiting() throws Exception {
         try (StandIns world = new StandIns()) {
-            world.members.status = 0;
+            world.members.it.status = 0;
             world.up();
             Thread.sleep(100);
             long since = System.nanoTime();
@@ -356,14 +356,14 @@
 
     public void aMembershipServiceThatFailsCostsALogLine() throws Exception {
         try (StandIns world = new StandIns()) {
-            world.members.status = 503;
+            world.members.it.status = 503;
             world.up();
             try (Stub stub = world.stub()) {
                 assertEquals(stub.check(), 79);
                 for (int i = 0; i < 3; i++) {
                     soon(world.members.phases, "a report");
                 }
-                world.members.status = 204;
+                world.members.it.status = 204;
                 world.untilLogged("taken again");
                 assertEquals(world.logged().split("answered 503").length, 2, "told once for each row of failures");
             }
--- /dev/null
+++ b/lab/src/test/java/vetchrill/tool/CommandTest.java
@@ -0,0 +1,72 @@
+package vetchrill.tool;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.Test;
+
+@Test(singleThreaded = true)
+public class CommandTest {
+    private record Said(int code, String out, String err) {
+    }
+
+    private static Said say(String... args) {
+        PrintStream out = System.out;
+        PrintStream err = System.err;
+        ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
+        ByteArrayOutputStream errBytes = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(outBytes, true, StandardCharsets.UTF_8));
+        System.setErr(new PrintStream(errBytes, true, StandardCharsets.UTF_8));
+        try {
+            int code = Vetchrill.run(args);
+            return new Said(code, outBytes.toString(StandardCharsets.UTF_8), errBytes.toString(StandardCharsets.UTF_8));
+        } finally {
+            System.setOut(out);
+            System.setErr(err);
+        }
+    }
+
+    public void wrongUsageIsOneLineAndTwo() {
+        for (String[] args : new String[][] {{"fly"}, {"plan"}, {"plan", "limits"}, {"serve", "--wings"},
+            {"--log-format", "xml", "try"}, {"plan", "limits", "f", "--json", "--html", "x"}}) {
+            Said said = say(args);
+            assertEquals(said.code, 2, String.join(" ", args) + said.err);
+            assertEquals(said.err.trim().lines().count(), 1, said.err);
+            assertTrue(said.err.startsWith("vetchrill: "), said.err);
+        }
+    }
+
+    public void eachMistakeOfAFileIsALineAndNothingIsWritten() throws IOException {
+        Path fleet = Files.createTempFile("fleet", ".hcl");
+        Path page = fleet.resolveSibling(fleet.getFileName() + ".html");
+        Files.writeString(fleet, "kind \"k\" {\n  cores = -2\n  memory_mb = 1\n}\nzone \"z\" { relays = { q = 1 } }\n"
+                + "group \"g\" {\n  slo_ms = 1\n  timeout_ms = 2\n}\nstubs \"s\" { count = 1 }\n");
+        Said said = say("plan", "limits", fleet.toString(), "--html", page.toString());
+        assertEquals(said.code, 2);
+        assertEquals(said.err, "vetchrill: " + fleet + ":2: cores: is -2, should be a number from 1 to 1024\n"
+                + "vetchrill: " + fleet + ":5: relays: names kind 'q', which no kind block describes\n");
+        assertFalse(Files.exists(page));
+    }
+
+    public void aFolderWithoutCapturesIsOneClearLine() throws IOException {
+        Path empty = Files.createTempDirectory("none");
+        Said said = say("capture", empty.toString());
+        assertEquals(said.code, 2);
+        assertEquals(said.err, "vetchrill: " + empty + ": holds no exchange\n");
+    }
+
+    public void everySubcommandHelps() {
+        for (String name : new String[] {"serve", "wirehost", "try", "plan", "capture", "prove"}) {
+            Said said = say(name, "--help");
+            assertEquals(said.code, 0, name);
+            assertTrue(said.out.startsWith("Usage: vetchrill " + name), said.out);
+        }
+    }
+}
