--- a/lab/src/test/java/vetchrill/tool/PlannedAgainstMeasuredTest.java
+++ b/lab/src/test/java/vetchrill/tool/PlannedAgainstMeasuredTest.java
@@ -60,7 +60,8 @@
         try {
             new Fit(other, Capture.readAll(Path.of("src/test/resources/captures/full")));
         } catch (vetchrill.capture.CaptureFault e) {
-            assertTrue(e.getMessage().endsWith("is of zone 'isafjordur', which the fleet file has not"), e.getMessage());
+            assertTrue(e.getMessage().endsWith("is of zone 'isafjordur', which the fleet file has not"),
+                    e.getMessage());
             return;
         }
         throw new AssertionError("taken as it is");
