--- a/lab/src/main/java/vetchrill/model/Demand.java
+++ b/lab/src/main/java/vetchrill/model/Demand.java
@@ -35,47 +35,61 @@
 
     /** The same with only {@code part} of its load before {@code until}, so that what plays it is warm by then. */
     static Demand rising(Demand demand, double part, long until) {
-        return new Demand() {
+        return new Like(demand) {
             @Override
             public double rate(long at) {
-                return demand.rate(at) * (at < until ? part : 1);
+                return super.rate(at) * (at < until ? part : 1);
             }
+        };
+    }
 
-            @Override
-            public double peak() {
-                return demand.peak();
-            }
+    /** Another demand, to be changed in part. */
+    class Like implements Demand {
+        private final Demand like;
 
-            @Override
-            public double work(int group, SplittableRandom chance) {
-                return demand.work(group, chance);
-            }
+        public Like(Demand like) {
+            this.like = like;
+        }
 
-            @Override
-            public int group(SplittableRandom chance) {
-                return demand.group(chance);
-            }
+        @Override
+        public double rate(long at) {
+            return like.rate(at);
+        }
 
-            @Override
-            public int customer(SplittableRandom chance) {
-                return demand.customer(chance);
-            }
+        @Override
+        public double peak() {
+            return like.peak();
+        }
 
-            @Override
-            public long subject(SplittableRandom chance) {
-                return demand.subject(chance);
-            }
+        @Override
+        public double work(int group, SplittableRandom chance) {
+            return like.work(group, chance);
+        }
 
-            @Override
-            public double kb(int group, SplittableRandom chance) {
-                return demand.kb(group, chance);
-            }
+        @Override
+        public int group(SplittableRandom chance) {
+            return like.group(chance);
+        }
 
-            @Override
-            public int bytes(int group, SplittableRandom chance) {
-                return demand.bytes(group, chance);
-            }
-        };
+        @Override
+        public int customer(SplittableRandom chance) {
+            return like.customer(chance);
+        }
+
+        @Override
+        public long subject(SplittableRandom chance) {
+            return like.subject(chance);
+        }
+
+        @Override
+        public double kb(int group, SplittableRandom chance) {
+            return like.kb(group, chance);
+        }
+
+        @Override
+        public int bytes(int group, SplittableRandom chance) {
+            return like.bytes(group, chance);
+        }
     }
 
     /** One first try that is known. */
--- a/lab/src/main/java/vetchrill/planner/Fit.java
+++ b/lab/src/main/java/vetchrill/planner/Fit.java
@@ -114,7 +114,7 @@
      * never run has its work drawn. {@link #demand} has their shape only, and is for any other time.
      */
     public Demand replay() {
-        return new Replay((Captured) demand, known);
+        return new Replay(demand, known);
     }
 
     private List<Demand.Known> firsts(int[] groupOf) {
