--- a/fuzz/src/main/java/vetchrill/fuzz/chain/ChainRun.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/ChainRun.java
@@ -326,6 +326,7 @@
                 });
             }
             case 28 -> repeated(stub, b);
+            case 29 -> interpreter.losesNext = true;
             default -> until(now() + 1 + 2L * b + (what == 31 ? 20L * c : 0));
         }
         if (what < 29 && c % 3 == 0) {
@@ -440,6 +441,7 @@
     void rest() {
         refusedUntil = 0;
         interpreter.byHand = false;
+        interpreter.losesNext = false;
         interpreter.endAll();
         interpreter.answersGauges = true;
         interpreter.bannerHeld = false;
