--- a/lab/src/main/java/vetchrill/tool/ToolLog.java
+++ b/lab/src/main/java/vetchrill/tool/ToolLog.java
@@ -1,11 +1,5 @@
 package vetchrill.tool;
 
-import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.JsonEncoder;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.ConsoleAppender;
-import ch.qos.logback.core.encoder.Encoder;
 import java.text.MessageFormat;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,51 +29,9 @@
         return new Field(name, value);
     }
 
-    private static LoggerContext context;
-
     @Override
     public System.Logger getLogger(String name, Module module) {
-        return new Lines(logger(name));
-    }
-
-    private static synchronized org.slf4j.Logger logger(String name) {
-        if (context == null) {
-            context = (LoggerContext) LoggerFactory.getILoggerFactory();
-            context.reset();
-            ConsoleAppender<ILoggingEvent> out = new ConsoleAppender<>();
-            out.setContext(context);
-            out.setTarget("out".equals(System.getProperty(TARGET)) ? "System.out" : "System.err");
-            out.setEncoder(encoder());
-            out.start();
-            ch.qos.logback.classic.Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-            root.addAppender(out);
-            String least = System.getProperty(LEAST, System.getenv("VETCHRILL_LOG"));
-            root.setLevel(ch.qos.logback.classic.Level.toLevel(least, ch.qos.logback.classic.Level.INFO));
-            // What the libraries say of themselves helps nobody who has not asked for it.
-            context.getLogger("org.apache.arrow").setLevel(ch.qos.logback.classic.Level.WARN);
-            context.getLogger("io.netty").setLevel(ch.qos.logback.classic.Level.WARN);
-        }
-        return context.getLogger(name);
-    }
-
-    private static Encoder<ILoggingEvent> encoder() {
-        if ("json".equals(System.getProperty(FORMAT))) {
-            JsonEncoder json = new JsonEncoder();
-            json.setContext(context);
-            json.setWithFormattedMessage(false);
-            json.setWithArguments(false);
-            json.setWithContext(false);
-            json.setWithSequenceNumber(false);
-            json.setWithNanoseconds(false);
-            json.setWithMDC(false);
-            json.start();
-            return json;
-        }
-        PatternLayoutEncoder text = new PatternLayoutEncoder();
-        text.setContext(context);
-        text.setPattern("%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z', UTC} %level %logger: %msg%replace( %kvp{NONE}){'^ $',''}%n");
-        text.start();
-        return text;
+        return new Lines(LoggerFactory.getLogger(name));
     }
 
     private record Lines(org.slf4j.Logger to) implements System.Logger {
--- a/lab/src/test/java/vetchrill/tool/CommandTest.java
+++ b/lab/src/test/java/vetchrill/tool/CommandTest.java
@@ -62,6 +62,14 @@
         assertEquals(said.err, "vetchrill: " + empty + ": holds no exchange\n");
     }
 
+    /** The library that reads captures logged each of its buffers between the lines of an answer. */
+    public void anAnswerFromCapturesHasNoLineThatIsNotItsOwn() {
+        Said said = say("capture", "src/test/resources/captures/full");
+        assertEquals(said.code, 0);
+        assertEquals(said.out.lines().filter(line -> !line.startsWith("r") && !line.startsWith("file")
+                && !line.startsWith("merged") && !line.startsWith("  ")).toList(), java.util.List.of());
+    }
+
     public void everySubcommandHelps() {
         for (String name : new String[] {"serve", "wirehost", "try", "plan", "capture", "prove"}) {
             Said said = say(name, "--help");
