The fuzzing targets are in the repository: their package no longer has an ignored name

Cause: .gitignore keeps out every folder named target, and the package vetchrill.fuzz.target was one: a clean checkout had no target, and FuzzTest could not have passed there. Seen by building one beside this tree. Change: the package is vetchrill.fuzz.targets.

--- a/fuzz/src/main/java/vetchrill/fuzz/Targets.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/Targets.java
@@ -10,7 +10,7 @@
     @SuppressWarnings("unchecked")
     public static List<Target> all(ClassLoader loader) {
         try {
-            return (List<Target>) loader.loadClass("vetchrill.fuzz.target.Registered").getMethod("all").invoke(null);
+            return (List<Target>) loader.loadClass("vetchrill.fuzz.targets.Registered").getMethod("all").invoke(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException(e);
         }
--- /dev/null
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/TextTargets.java
@@ -0,0 +1,378 @@
+package vetchrill.fuzz.targets;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import vetchrill.capture.Capture;
+import vetchrill.capture.CaptureFault;
+import vetchrill.capture.CaptureOrder;
+import vetchrill.fleet.Fleet;
+import vetchrill.fleet.FleetFile;
+import vetchrill.fuzz.Finding;
+import vetchrill.fuzz.Target;
+import vetchrill.hcl.Block;
+import vetchrill.hcl.Mistakes;
+import vetchrill.planner.Goal;
+import vetchrill.program.Starts;
+import vetchrill.protocol.Answers;
+import vetchrill.protocol.DeploymentReader;
+import vetchrill.protocol.MembershipCall;
+import vetchrill.wire.WireFault;
+import vetchrill.wire.WireHost;
+
+/** Targets whose input is a whole text or file: it is taken, or refused in the one way that its reader has. */
+final class TextTargets {
+    private static final String SETTINGS = "{\"categories\":[{\"name\":\"look\",\"effect\":\"free\",\"aimMs\":400,"
+            + "\"deadlineMs\":1000,\"gain\":1},{\"name\":\"note\",\"effect\":\"single_shot\",\"aimMs\":600,"
+            + "\"deadlineMs\":1600}],\"customers\":[{\"name\":\"acme\",\"allowancePerS\":100}],\"servers\":2,"
+            + "\"familyInfo\":{"
+            + "\"cores\":2,\"callers\":2,\"ramKb\":10000,\"runMemFactor\":4,\"idleMs\":2000,"
+            + "\"listFollows\":true,\"meters\":"
+            + "[\"cpu_busy\",\"runnable\",\"mem_used\",\"sockets\"]},\"guarantees\":{\"fallMultiple\":8,"
+            + "\"stopSendingWithinMs\":250},\"limits\":{\"maxRetryAfterMs\":1000}}";
+
+    private TextTargets() {
+    }
+
+    /** A target that is one call. */
+    private abstract static class Text implements Target {
+        private final String name;
+        private final List<Class<?>> covers;
+        private final List<byte[]> seeds;
+        private final List<String> words;
+
+        Text(String name, List<Class<?>> covers, List<String> words, String... seeds) {
+            this.name = name;
+            this.covers = covers;
+            this.words = words;
+            this.seeds = Arrays.stream(seeds).map(seed -> seed.getBytes(StandardCharsets.UTF_8)).toList();
+        }
+
+        @Override
+        public String name() {
+            return name;
+        }
+
+        @Override
+        public List<Class<?>> covers() {
+            return covers;
+        }
+
+        @Override
+        public List<byte[]> seeds() {
+            return seeds;
+        }
+
+        @Override
+        public List<String> words() {
+            return words;
+        }
+    }
+
+    static Target membership() {
+        return new Text("membership", List.of(MembershipCall.class), List.of("HTTP/1.1 ", "204", "Content-Length: ",
+                "Connection: close", "\r\n\r\n", "-1", "9999999999"),
+                "HTTP/1.1 204 Told\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.0 200 OK\r\n\r\n") {
+            @Override
+            public void run(byte[] input) {
+                Counting in = new Counting(input);
+                try {
+                    int code = Math.abs(Answers.read(in));
+                    if (code > 999) {
+                        throw new Finding("a status of more than three digits is taken");
+                    }
+                } catch (IOException e) {
+                    // Refused.
+                }
+                // A head and a body are bounded: what never ends may not keep the reporter for ever.
+                if (in.read > 4L * Answers.longestHead()) {
+                    throw new Finding("an answer without an end is read on and on");
+                }
+                onlyItsOwn(input);
+            }
+
+            /** An answer that is kept to its length leaves the next one on the connection whole. */
+            private void onlyItsOwn(byte[] input) {
+                String body = "x".repeat(input.length % 50);
+                String two = "HTTP/1.1 204 Told\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\ncontent-length: "
+                        + body.length() + "\r\n\r\n" + body + "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+                InputStream in = new ByteArrayInputStream(two.getBytes(StandardCharsets.US_ASCII));
+                try {
+                    int first = Answers.read(in);
+                    int second = body.isEmpty() || first == 204 ? Answers.read(in) : 0;
+                    int third = Answers.read(in);
+                    if (first != 204 || second != 200 || third != 503) {
+                        throw new Finding("answers on one connection are taken for each other");
+                    }
+                } catch (IOException e) {
+                    throw new Finding("a plain answer is refused", e);
+                }
+            }
+        };
+    }
+
+    /** Bytes that go on for ever once the input is over: a peer that does not stop. */
+    private static final class Counting extends InputStream {
+        private final byte[] bytes;
+        long read;
+
+        Counting(byte[] bytes) {
+            this.bytes = bytes;
+        }
+
+        @Override
+        public int read() {
+            if (read > 1 << 20) {
+                return -1;
+            }
+            long at = read++;
+            return at < bytes.length ? bytes[(int) at] & 0xff : "x: y\r\n".charAt((int) (at % 6));
+        }
+    }
+
+    static Target settings() {
+        return new Text("settings", List.of(DeploymentReader.class), List.of("categories", "effect", "free", "guarded",
+                "single_shot", "aimMs", "deadlineMs", "1e400", "-1", "null", "[]", "{}", "familyInfo", "meters"),
+                SETTINGS, "{}", "[1,2]") {
+            @Override
+            public void run(byte[] input) {
+                try {
+                    DeploymentReader read = new DeploymentReader(new String(input, StandardCharsets.UTF_8));
+                    if (read.groupNames.size() != read.deployment.groups.size() || read.deployment.groups.isEmpty()) {
+                        throw new Finding("groups without names");
+                    }
+                } catch (IllegalArgumentException e) {
+                    oneLine(e.getMessage());
+                }
+            }
+        };
+    }
+
+    static Target start() {
+        return new Text("start", List.of(Starts.of()), List.of("\"listen\":", "\"vm\":", "127.0.0.1:1", "\"seed\":",
+                "\"stop_ms\":", "\"limits\":", "memory_mb", "sockets", "1e99", "-1"),
+                "{\"name\":\"n1\",\"listen\":\"127.0.0.1:1\",\"vm\":\"127.0.0.1:2\",\"members\":\"127.0.0.1:3\","
+                + "\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":600,\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
+                + "\"sockets\":1024},"
+                + "\"settings\":" + SETTINGS + "}") {
+            private Path file;
+
+            @Override
+            public void run(byte[] input) {
+                try {
+                    if (file == null) {
+                        file = Files.createTempFile("vetchrill-start", ".json");
+                        file.toFile().deleteOnExit();
+                    }
+                    Files.write(file, input);
+                    Starts.read(Map.of("GW_CONFIG", file.toString()));
+                } catch (IllegalArgumentException e) {
+                    oneLine(e.getMessage());
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        };
+    }
+
+    private static void oneLine(String message) {
+        if (message == null || message.isBlank() || message.indexOf('\n') >= 0) {
+            throw new Finding("a refusal is not one line that says why");
+        }
+    }
+
+    static Target wire() {
+        return new Text("wire", wireClasses(), List.of("sync ", "commit", "at ", "born ", "inbound ", "ring ",
+                "run_over ",
+                "instance=", "tsMs=", "seq=", "rid=", "type=", "salt=", "options=", "disposition=completed", "\n"),
+                "sync tsMs=1000.0 seq=1\nat instance=0\nborn salt=7 options=" + SETTINGS
+                        + "\ninbound rid=1 type=0 sizeKb=20"
+                + " waitedMs=3.5\ncommit\nsync tsMs=1100 seq=2\nat instance=0\nring token=1 "
+                + "stats=0.5,1,0.2,3\nrun_over rid=1"
+                + " disposition=completed costTimeMs=20.5\nwind_down clientDeadlineMs=3000\ncommit\n") {
+            @Override
+            public void run(byte[] input) {
+                String whole = said(new ByteArrayInputStream(input));
+                SplittableRandom chance = new SplittableRandom(Arrays.hashCode(input));
+                String pieces = said(new ByteArrayInputStream(input) {
+                    @Override
+                    public synchronized int read(byte[] buf, int from, int size) {
+                        return super.read(buf, from, Math.min(size, 1 + chance.nextInt(30)));
+                    }
+                });
+                if (!whole.equals(pieces)) {
+                    throw new Finding("the same lines, cut otherwise, are decided otherwise");
+                }
+            }
+
+            private String said(InputStream in) {
+                ByteArrayOutputStream out = new ByteArrayOutputStream();
+                java.io.PrintStream err = System.err;
+                // A controller that fails says so on the wire, and prints its trace besides.
+                System.setErr(new java.io.PrintStream(java.io.OutputStream.nullOutputStream()));
+                try {
+                    new WireHost(in, out).run();
+                } catch (WireFault e) {
+                    return out + "\n" + e.getMessage();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                } finally {
+                    System.setErr(err);
+                }
+                return out.toString();
+            }
+        };
+    }
+
+    private static List<Class<?>> wireClasses() {
+        try {
+            return List.of(WireHost.class, Class.forName("vetchrill.wire.LineParser", false,
+                    WireHost.class.getClassLoader()), Class.forName("vetchrill.wire.Door", false,
+                    WireHost.class.getClassLoader()));
+        } catch (ClassNotFoundException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    static Target hcl() {
+        return new Text("hcl", List.of(Block.class, FleetFile.class, Goal.class, CaptureOrder.class), List.of("kind",
+                "zone", "group", "stubs", "{", "}", "\"", "= ", "relays", "cores", "goal", "capture", "/*", "*/", "#",
+                "<<EOF\n", "${", "1e999", "-", "[", "]", "true"),
+                "kind \"k\" {\n  cores = 2\n  memory_mb = 4\n  reading_ms = 3\n}\nzone \"a\" { relays = { k = 2 } }\n"
+                + "group \"g\" {\n  slo_ms = 400\n  timeout_ms = 900\n  share = 1\n}\nstubs \"s\" { count = 1 }\n",
+                "goal \"g\" {\n  service = 0.9\n  zones_lost = [\"a\"]\n}\n",
+                "capture {\n  directory = \"d\"\n  zone = \"z\"\n  kind = \"k\"\n  subject_key = "
+                + "\"00112233445566778899aabbccddeeff\"\n}\n") {
+            @Override
+            public void run(byte[] input) {
+                String text = new String(input, StandardCharsets.UTF_8);
+                Fleet fleet = null;
+                for (int i = 0; i < 3; i++) {
+                    try {
+                        Block root = Block.parse("f", text);
+                        if (i == 0) {
+                            fleet = FleetFile.read(root);
+                            whole(fleet);
+                        } else if (i == 1) {
+                            CaptureOrder.in(root);
+                            root.check();
+                        } else if (fleet != null) {
+                            Goal.read(root, fleet);
+                        }
+                    } catch (Mistakes e) {
+                        if (e.each.isEmpty()) {
+                            throw new Finding("refused without a word");
+                        }
+                        for (String each : e.each) {
+                            if (!each.startsWith("f:")) {
+                                throw new Finding("a mistake without its place");
+                            }
+                        }
+                    }
+                }
+            }
+
+            private void whole(Fleet fleet) {
+                if (fleet.relays() < 1 || fleet.stubs() < 1 || fleet.groups.isEmpty()) {
+                    throw new Finding("half a fleet is taken for a whole one");
+                }
+            }
+        };
+    }
+
+    static Target capture() {
+        return new Target() {
+            private List<byte[]> seeds;
+
+            @Override
+            public String name() {
+                return "capture";
+            }
+
+            @Override
+            public List<Class<?>> covers() {
+                return List.of(Capture.class);
+            }
+
+            @Override
+            public void run(byte[] input) {
+                try {
+                    Capture capture = Capture.read(Path.of("c"), input);
+                    if (capture.rows != capture.arrived.length || capture.rows != capture.away.length) {
+                        throw new Finding("columns of different lengths");
+                    }
+                } catch (CaptureFault e) {
+                    oneLine(e.getMessage());
+                }
+                // A damaged part whose sum is made right again gets past the sum: what is inside is checked as well.
+                byte[] mended = mended(input);
+                if (mended != null) {
+                    try {
+                        Capture.read(Path.of("c"), mended);
+                    } catch (CaptureFault e) {
+                        oneLine(e.getMessage());
+                    }
+                }
+            }
+
+            private byte[] mended(byte[] input) {
+                if (input.length < 17 || input[0] != 'V') {
+                    return null;
+                }
+                byte[] out = input.clone();
+                int length = Math.min(input.length - 16, Math.max(1, (input[8] & 0xff) << 24 | (input[9] & 0xff) << 16
+                        | (input[10] & 0xff) << 8 | input[11] & 0xff));
+                java.util.zip.CRC32C sum = new java.util.zip.CRC32C();
+                sum.update(out, 16, length);
+                for (int i = 0; i < 4; i++) {
+                    out[8 + i] = (byte) (length >>> 24 - 8 * i);
+                    out[12 + i] = (byte) ((int) sum.getValue() >>> 24 - 8 * i);
+                }
+                return out;
+            }
+
+            @Override
+            public List<byte[]> seeds() {
+                if (seeds == null) {
+                    seeds = new ArrayList<>();
+                    try {
+                        Path folder = Files.createTempDirectory("vetchrill-seed");
+                        var writer = new vetchrill.capture.CaptureWriter(CaptureOrder.in(Block.parse("o",
+                                "capture {\n directory = \"" + folder
+                                        + "\"\n zone = \"z\"\n kind = \"k\"\n subject_key = "
+                                + "\"00112233445566778899aabbccddeeff\"\n}\n")),
+                                Map.of("name", "r1", "started", "1", "settings", SETTINGS));
+                        for (int i = 0; i < 3; i++) {
+                            var row = writer.claimExchange();
+                            row.arrived = 1_000 + i;
+                            row.heard = 1_010 + i;
+                            row.kb = 20;
+                            row.answered = 1_020 + i;
+                            row.answer = vetchrill.routing.Recorder.DENIED;
+                            writer.put(row);
+                        }
+                        writer.close();
+                        seeds.add(Files.readAllBytes(writer.file()));
+                        Files.delete(writer.file());
+                        Files.delete(folder);
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                }
+                return seeds;
+            }
+        };
+    }
+}
