--- a/fuzz/src/main/java/vetchrill/fuzz/FaultsCommand.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/FaultsCommand.java
@@ -4,7 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -17,6 +16,7 @@
 import javax.tools.ToolProvider;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import vetchrill.files.Folders;
 import vetchrill.fuzz.Fuzzer.Way;
 
 /** Does fuzzing find anything? Faults are planted one by one, apart from the product, and looked for. */
@@ -120,11 +120,7 @@
             return 0;
         } finally {
             threads.shutdownNow();
-            try (var all = Files.walk(work)) {
-                for (Path file : all.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(file);
-                }
-            }
+            Folders.remove(work);
         }
     }
 
--- a/fuzz/src/main/java/vetchrill/fuzz/Probes.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/Probes.java
@@ -42,18 +42,6 @@
         return reached > before;
     }
 
-    /** A number that two inputs which came to the same places share; then starts anew. */
-    static synchronized long fingerprint() {
-        long print = 1;
-        for (boolean[] now : NOW) {
-            for (boolean probe : now) {
-                print = print * 31 + (probe ? 7 : 3);
-            }
-            Arrays.fill(now, false);
-        }
-        return print;
-    }
-
     static synchronized int reached() {
         return reached;
     }
--- a/fuzz/src/main/java/vetchrill/fuzz/chain/ChainRun.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/ChainRun.java
@@ -4,11 +4,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import vetchrill.fuzz.Draws;
 import vetchrill.fuzz.Finding;
 import vetchrill.model.Event;
@@ -58,7 +59,6 @@
     private final DecisionThread thread;
     private final InterpreterLink link;
     final SimInterpreter interpreter;
-    private final Map<SimPipe, List<Job>> jobs = new HashMap<>();
     private final List<SimStub> stubs = new ArrayList<>();
     private final Map<Integer, SimStub> byPlace = new TreeMap<>();
     private long wallStep;
@@ -69,7 +69,6 @@
     boolean over;
     private long ids;
     private int done;
-    private long linkSince;
     boolean linkOpen;
 
     ChainRun(long seed) {
@@ -98,10 +97,10 @@
                 // Whoever is reported to is the same here.
             }
         };
-        Job.Runner runner = this::give;
-        chain = new Chain(new DeploymentReader(SETTINGS), 7, clock, thread, reports, limits, null, runner, runner);
+        chain = new Chain(new DeploymentReader(SETTINGS), 7, clock, thread, reports, limits, null, this::reads,
+                this::writes);
         link = chain.prepare(address(1), this::dial);
-        at(0, this::tryLink);
+        keepLink();
         at(1_000, this::report);
     }
 
@@ -145,6 +144,26 @@
         return kind == 0 ? 1 + chance.nextInt(Math.min(of, 7)) : kind == 1 ? 1 + chance.nextInt(of) : of;
     }
 
+    /** Bytes on their way, in pieces of any size, each in its time and in their order. */
+    final class Way {
+        private long last;
+
+        void send(byte[] bytes, Consumer<byte[]> arrives) {
+            int from = 0;
+            while (from < bytes.length) {
+                byte[] piece = Arrays.copyOfRange(bytes, from, from + piece(bytes.length - from));
+                from += piece.length;
+                after(() -> arrives.accept(piece));
+            }
+        }
+
+        /** Behind all that is on its way. */
+        void after(Runnable act) {
+            last = Math.max(last, now() + delay());
+            at(last, act);
+        }
+    }
+
     /** Lets time go on to {@code time}, and all that is due by then happen. */
     void until(long time) {
         boolean[] reached = {false};
@@ -175,44 +194,48 @@
 
     // What the chain asks for.
 
-    private void give(Job job) {
+    /** A reader, which has a step whenever there is something to read, until it has had its last. */
+    private void reads(Job job) {
         SimPipe pipe = (SimPipe) job.pipe();
-        jobs.computeIfAbsent(pipe, key -> new ArrayList<>()).add(job);
-        if (job.getClass().getSimpleName().equals("Writing")) {
-            at(now() + delay() / 4, () -> step(pipe, job));
-        } else {
-            ready(pipe);
-        }
+        pipe.reader = job;
+        ready(pipe);
     }
 
-    private void step(SimPipe pipe, Job job) {
-        if (over) {
-            return;
-        }
-        boolean writing = job.getClass().getSimpleName().equals("Writing");
-        if (writing && now() < pipe.stalledUntil && !pipe.closed) {
-            at(pipe.stalledUntil, () -> step(pipe, job));
-            return;
+    /** Something can be read from a pipe. */
+    void ready(SimPipe pipe) {
+        if (pipe.reader != null) {
+            at(now() + delay() / 4, () -> read(pipe));
         }
-        if (!writing && !pipe.readable()) {
+    }
+
+    private void read(SimPipe pipe) {
+        if (over || pipe.reader == null || !pipe.readable()) {
             return;
         }
-        if (!job.step()) {
-            jobs.get(pipe).remove(job);
-        } else if (writing || pipe.readable()) {
-            at(now() + delay() / 4, () -> step(pipe, job));
+        if (!pipe.reader.step()) {
+            pipe.reader = null;
+        } else if (pipe.readable()) {
+            ready(pipe);
         }
-        if (!writing && pipe.peer instanceof SimStub stub) {
+        if (pipe.peer instanceof SimStub stub) {
             stub.note(now());
         }
     }
 
-    /** Something can be read from a pipe. */
-    void ready(SimPipe pipe) {
-        for (Job job : List.copyOf(jobs.getOrDefault(pipe, List.of()))) {
-            if (job.getClass().getSimpleName().equals("Reading")) {
-                at(now() + delay() / 4, () -> step(pipe, job));
-            }
+    /** A writer, which has its steps one after the other, unless its peer takes nothing for a while. */
+    private void writes(Job job) {
+        at(now() + delay() / 4, () -> write(job));
+    }
+
+    private void write(Job job) {
+        SimPipe pipe = (SimPipe) job.pipe();
+        if (over) {
+            return;
+        }
+        if (now() < pipe.stalledUntil && !pipe.closed) {
+            at(pipe.stalledUntil, () -> write(job));
+        } else if (job.step()) {
+            writes(job);
         }
     }
 
@@ -223,33 +246,31 @@
         return interpreter.dialled().pipe;
     }
 
-    private void tryLink() {
-        if (over) {
-            return;
-        }
-        if (linkOpen && link.isOver()) {
-            linkOpen = false;
-            link.ended(now() - linkSince);
-            at(now() + link.pauseBefore(), this::tryOnce);
-            return;
-        }
-        if (!linkOpen && linkSince == 0) {
-            linkSince = 1;
-            at(now() + link.pauseBefore(), this::tryOnce);
-        }
-        at(now() + 50, this::tryLink);
+    /** As the link's own thread does it: a pause, a try, and again when what was opened is over. */
+    private void keepLink() {
+        at(now() + link.pauseBefore(), () -> {
+            if (over) {
+                return;
+            }
+            if (link.attempt()) {
+                linkOpen = true;
+                watchLink(now());
+            } else {
+                keepLink();
+            }
+        });
     }
 
-    private void tryOnce() {
+    private void watchLink(long since) {
         if (over) {
             return;
         }
-        if (link.attempt()) {
-            linkOpen = true;
-            linkSince = now();
-            at(now() + 50, this::tryLink);
+        if (link.isOver()) {
+            linkOpen = false;
+            link.ended(now() - since);
+            keepLink();
         } else {
-            at(now() + link.pauseBefore(), this::tryOnce);
+            at(now() + 50, () -> watchLink(since));
         }
     }
 
--- a/fuzz/src/main/java/vetchrill/fuzz/chain/SimInterpreter.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/SimInterpreter.java
@@ -45,8 +45,8 @@
     final class Link implements SimPipe.Peer {
         final SimPipe pipe = new SimPipe(this);
         private byte[] heard = new byte[0];
-        private long lastIn;
-        private long lastOut;
+        private final ChainRun.Way in = run.new Way();
+        private final ChainRun.Way out = run.new Way();
         private boolean cut;
         private int waitingBanner = -1;
 
@@ -57,14 +57,7 @@
                 cut();
                 return;
             }
-            int at = 0;
-            while (at < bytes.length) {
-                int size = run.piece(bytes.length - at);
-                byte[] piece = Arrays.copyOfRange(bytes, at, at + size);
-                at += size;
-                lastIn = Math.max(lastIn, run.now() + run.delay());
-                run.at(lastIn, () -> hears(piece));
-            }
+            in.send(bytes, this::hears);
         }
 
         @Override
@@ -82,27 +75,19 @@
         }
 
         void send(byte[] bytes) {
-            int at = 0;
-            while (at < bytes.length) {
-                int size = run.piece(bytes.length - at);
-                byte[] piece = Arrays.copyOfRange(bytes, at, at + size);
-                at += size;
-                lastOut = Math.max(lastOut, run.now() + run.delay());
-                run.at(lastOut, () -> {
-                    if (!cut) {
-                        pipe.arrive(piece);
-                        run.ready(pipe);
-                    }
-                });
-            }
+            out.send(bytes, piece -> {
+                if (!cut) {
+                    pipe.arrive(piece);
+                    run.ready(pipe);
+                }
+            });
         }
 
         private void hears(byte[] bytes) {
             if (cut) {
                 return;
             }
-            heard = Arrays.copyOf(heard, heard.length + bytes.length);
-            System.arraycopy(bytes, 0, heard, heard.length - bytes.length, bytes.length);
+            heard = SimPipe.joined(heard, bytes);
             while (true) {
                 int end = 0;
                 while (end < heard.length && heard[end] != '\n') {
@@ -181,9 +166,9 @@
     }
 
     private void tell(String text, byte[] rest) {
-        byte[] head = text.replace("#", Integer.toString(++numbered)).getBytes(StandardCharsets.US_ASCII);
-        byte[] bytes = Arrays.copyOf(head, head.length + rest.length);
-        System.arraycopy(rest, 0, bytes, head.length, rest.length);
+        byte[] bytes = SimPipe.joined(text.replace("#",
+                Integer.toString(++numbered)).getBytes(StandardCharsets.US_ASCII),
+                rest);
         kept.add(new Notice(numbered, bytes));
         if (link != null && link.waitingBanner < 0) {
             link.send(bytes);
@@ -198,9 +183,7 @@
     }
 
     private void value(String id, String end, long took, byte[] result) {
-        byte[] rest = Arrays.copyOf(result, result.length + 2);
-        rest[rest.length - 2] = '\r';
-        rest[rest.length - 1] = '\n';
+        byte[] rest = SimPipe.joined(result, new byte[] {'\r', '\n'});
         tell("VALUE # " + id + " " + end + " " + took / 10.0 + " " + result.length + "\r\n", rest);
     }
 
--- a/fuzz/src/main/java/vetchrill/fuzz/chain/SimPipe.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/SimPipe.java
@@ -1,8 +1,8 @@
 package vetchrill.fuzz.chain;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Arrays;
+import vetchrill.transport.Job;
 import vetchrill.transport.Pipe;
 
 /** One connection in memory. What its peer does to it is up to the peer; the chain sees what a socket would show. */
@@ -15,6 +15,8 @@
     }
 
     final Peer peer;
+    /** Whoever reads this side; null once it has ended. */
+    Job reader;
     private byte[] in = new byte[0];
     private int at;
     /** Bytes that the chain has read in all. */
@@ -29,12 +31,16 @@
         this.peer = peer;
     }
 
+    static byte[] joined(byte[] one, byte[] two) {
+        byte[] both = Arrays.copyOf(one, one.length + two.length);
+        System.arraycopy(two, 0, both, one.length, two.length);
+        return both;
+    }
+
     /** Bytes arrive from the peer. */
     void arrive(byte[] bytes) {
         if (!closed && !ended && !reset) {
-            byte[] left = Arrays.copyOfRange(in, at, in.length + bytes.length);
-            System.arraycopy(bytes, 0, left, in.length - at, bytes.length);
-            in = left;
+            in = joined(Arrays.copyOfRange(in, at, in.length), bytes);
             at = 0;
         }
     }
@@ -81,9 +87,7 @@
             throw new IOException("Broken pipe");
         }
         if (size > 0) {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream(size);
-            bytes.write(buf, from, size);
-            peer.written(bytes.toByteArray());
+            peer.written(Arrays.copyOfRange(buf, from, from + size));
         }
     }
 
--- a/fuzz/src/main/java/vetchrill/fuzz/chain/SimStub.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/SimStub.java
@@ -14,6 +14,7 @@
 /** One connection of a client stub in the simulated chain: what it sends, and what it makes of what it hears. */
 final class SimStub implements SimPipe.Peer {
     private final ChainRun run;
+    private final ChainRun.Way way;
     final SimPipe pipe = new SimPipe(this);
     final Map<Integer, Ledger.Ex> open = new HashMap<>();
     final Map<Integer, Integer> checks = new HashMap<>();
@@ -21,8 +22,6 @@
     private final List<Ledger.Ex> sent = new ArrayList<>();
     private int noted;
     private long sentBytes;
-    private long lastArrival;
-    private long lastHeard;
     int streams;
     boolean rude;
     boolean gone;
@@ -34,22 +33,15 @@
 
     SimStub(ChainRun run) {
         this.run = run;
+        way = run.new Way();
     }
 
-    /** Bytes go out in pieces of any size, each in its time, in their order. */
     void send(byte[] bytes) {
         sentBytes += bytes.length;
-        int at = 0;
-        while (at < bytes.length) {
-            int size = run.piece(bytes.length - at);
-            byte[] piece = Arrays.copyOfRange(bytes, at, at + size);
-            at += size;
-            lastArrival = Math.max(lastArrival, run.now() + run.delay());
-            run.at(lastArrival, () -> {
-                pipe.arrive(piece);
-                run.ready(pipe);
-            });
-        }
+        way.send(bytes, piece -> {
+            pipe.arrive(piece);
+            run.ready(pipe);
+        });
     }
 
     void exchange(Ledger.Ex ex, byte[] frame) {
@@ -63,8 +55,7 @@
 
     void halfShut() {
         halfShut = true;
-        lastArrival = Math.max(lastArrival, run.now() + run.delay());
-        run.at(lastArrival, () -> {
+        way.after(() -> {
             pipe.end();
             run.ready(pipe);
         });
@@ -82,8 +73,7 @@
         if (gone) {
             return;
         }
-        heard = Arrays.copyOf(heard, heard.length + bytes.length);
-        System.arraycopy(bytes, 0, heard, heard.length - bytes.length, bytes.length);
+        heard = SimPipe.joined(heard, bytes);
         while (heard.length >= 4) {
             int length = (heard[0] & 0xff) << 24 | (heard[1] & 0xff) << 16 | (heard[2] & 0xff) << 8 | heard[3] & 0xff;
             if (length < 5 || length > 8_192) {
--- a/fuzz/src/main/java/vetchrill/routing/Inside.java
+++ b/fuzz/src/main/java/vetchrill/routing/Inside.java
@@ -18,9 +18,4 @@
     public static long heldBytes(Chain chain) {
         return chain.heldBytes.get();
     }
-
-    public static String counts(Chain chain) {
-        return chain.book.completed + " completed, " + chain.book.denied + " denied, " + chain.book.terminated
-                + " terminated";
-    }
 }
--- a/lab/src/main/java/vetchrill/bench/RecorderBench.java
+++ b/lab/src/main/java/vetchrill/bench/RecorderBench.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Comparator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.openjdk.jmh.annotations.Benchmark;
@@ -19,6 +18,7 @@
 import org.openjdk.jmh.infra.Blackhole;
 import vetchrill.capture.CaptureOrder;
 import vetchrill.capture.CaptureWriter;
+import vetchrill.files.Folders;
 import vetchrill.hcl.Block;
 import vetchrill.routing.Recorder;
 
@@ -54,11 +54,7 @@
     public void close() throws IOException {
         if (writer != null) {
             writer.close();
-            try (var all = Files.walk(folder)) {
-                for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(each);
-                }
-            }
+            Folders.remove(folder);
         }
     }
 
--- a/lab/src/main/java/vetchrill/capture/CaptureWriter.java
+++ b/lab/src/main/java/vetchrill/capture/CaptureWriter.java
@@ -52,7 +52,7 @@
     private long written;
     private boolean full;
 
-    /** {@code provenance} says what the rows are of; see {@link CaptureFile} for the names it must have. */
+    /** {@code provenance} says what the rows are of; see {@link Capture} for the names it must have. */
     public CaptureWriter(CaptureOrder order, Map<String, String> provenance) throws IOException {
         this.order = order;
         this.provenance = new LinkedHashMap<>(provenance);
@@ -201,18 +201,19 @@
     }
 
     private void flush() throws IOException {
-        exchangeCount = flush(exchangeRows, Parts.EXCHANGES, exchangeCount);
-        lookCount = flush(lookRows, Parts.LOOKS, lookCount);
+        flush(exchangeRows, Parts.EXCHANGES, exchangeCount);
+        exchangeCount = 0;
+        flush(lookRows, Parts.LOOKS, lookCount);
+        lookCount = 0;
         out.flush();
     }
 
-    private int flush(VectorSchemaRoot rows, byte table, int count) throws IOException {
+    private void flush(VectorSchemaRoot rows, byte table, int count) throws IOException {
         if (count > 0) {
             rows.setRowCount(count);
             write(rows, table);
             rows.clear();
         }
-        return 0;
     }
 
     private void write(VectorSchemaRoot rows, byte table) throws IOException {
--- a/lab/src/main/java/vetchrill/capture/Clocks.java
+++ b/lab/src/main/java/vetchrill/capture/Clocks.java
@@ -25,10 +25,6 @@
     public final long[] offset;
     /** Captures whose clock could be compared with that of the first, itself included. */
     public final boolean[] compared;
-    /** Pairs of rows that were used. */
-    public int pairs;
-    /** The worst disagreement among the comparisons, in tenths of a millisecond. */
-    public long residual;
 
     private Clocks(int n) {
         offset = new long[n];
@@ -110,7 +106,6 @@
                     differences[b][a] = -differences[a][b];
                     weight[a][b] = (int) Math.min(there[1], back[1]);
                     weight[b][a] = weight[a][b];
-                    pairs += (int) (there[1] + back[1]);
                 }
             }
         }
@@ -118,7 +113,7 @@
             compared[0] = true;
         }
         double[] solved = new double[n];
-        // The strongest link first: a tree over the relays, whose other links then show how far it can be trusted.
+        // The strongest link first: a tree over the relays.
         for (int round = 1; round < n; round++) {
             int bestFrom = -1;
             int bestTo = -1;
@@ -138,11 +133,6 @@
             solved[bestTo] = solved[bestFrom] + differences[bestFrom][bestTo];
         }
         for (int a = 0; a < n; a++) {
-            for (int b = a + 1; b < n; b++) {
-                if (weight[a][b] > 0) {
-                    residual = Math.max(residual, Math.round(Math.abs(solved[b] - solved[a] - differences[a][b])));
-                }
-            }
             offset[a] = Math.abs(solved[a]) < SMALL ? 0 : Math.round(solved[a]);
         }
     }
--- a/lab/src/main/java/vetchrill/fleet/Fleet.java
+++ b/lab/src/main/java/vetchrill/fleet/Fleet.java
@@ -1,6 +1,8 @@
 package vetchrill.fleet;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +27,7 @@
     public record Kind(String name, int cores, double speed, double speedSpread, double reading, double crowdFrom,
             double crowdLoss, double memoryKb, int table, double tableTax, double connect, int descriptors,
             double coldShare, long warmUp, double price) {
-        Kind with(double reading, double crowdFrom, double crowdLoss) {
+        public Kind with(double reading, double crowdFrom, double crowdLoss) {
             return new Kind(name, cores, speed, speedSpread, reading, crowdFrom, crowdLoss, memoryKb, table, tableTax,
                     connect, descriptors, coldShare, warmUp, price);
         }
@@ -40,7 +42,7 @@
     /** An endpoint group; {@code calls} is the part of its exchanges that calls the shared tier. */
     public record Group(String name, Effect effect, long sloTime, long asyncTimeout, double benefit, double lateShare,
             double share, double work, double workSpread, double kb, int bytes, double calls, double withoutCall) {
-        Group with(double share, double work, double workSpread, double kb, int bytes) {
+        public Group with(double share, double work, double workSpread, double kb, int bytes) {
             return new Group(name, effect, sloTime, asyncTimeout, benefit, lateShare, share, work, workSpread, kb,
                     bytes,
                     calls, withoutCall);
@@ -57,6 +59,13 @@
      */
     public record Pool(String name, int count, Habit habit, Retry retry, int tries, long pause, long tryTimeout,
             double heed, String zone) {
+        public Pool with(Retry retry) {
+            return new Pool(name, count, habit, retry, tries, pause, tryTimeout, heed, zone);
+        }
+    }
+
+    /** Where one relay stands, by the place of its zone, and what machine it is. */
+    public record Place(int zone, Kind kind) {
     }
 
     public record Network(long within, long across) {
@@ -165,6 +174,54 @@
         throw new IllegalArgumentException("no kind " + name);
     }
 
+    /** All relays, in the order in which they are numbered: by zone, and by kind within it. */
+    public List<Place> places() {
+        List<Place> places = new ArrayList<>();
+        for (int zone = 0; zone < zones.size(); zone++) {
+            for (Map.Entry<String, Integer> each : zones.get(zone).relays.entrySet()) {
+                places.addAll(Collections.nCopies(each.getValue(), new Place(zone, kind(each.getKey()))));
+            }
+        }
+        return places;
+    }
+
+    /** The place of the zone in which a stub of a pool stands; {@code number} counts the stubs of all pools. */
+    public int zoneOf(Pool pool, int number) {
+        return pool.zone.isEmpty() ? number % zones.size() : zones.stream().map(Zone::name).toList().indexOf(pool.zone);
+    }
+
+    /** Relays that a rolling deploy replaces together, by their numbers and batch by batch. */
+    public List<List<Integer>> batches() {
+        List<Place> places = places();
+        List<Integer> order = new ArrayList<>();
+        int[] seen = new int[zones.size()];
+        int[] rank = new int[places.size()];
+        for (int i = 0; i < places.size(); i++) {
+            order.add(i);
+            rank[i] = seen[places.get(i).zone]++;
+        }
+        if (deploy.spread) {
+            // One of each zone in turn, as far as there are any left.
+            order.sort(Comparator.comparingInt((Integer i) -> rank[i]).thenComparingInt(i -> places.get(i).zone));
+        }
+        int size = Math.max(1, (int) Math.round(deploy.batch * places.size()));
+        List<List<Integer>> batches = new ArrayList<>();
+        for (int from = 0; from < order.size(); from += size) {
+            batches.add(List.copyOf(order.subList(from, Math.min(order.size(), from + size))));
+        }
+        return batches;
+    }
+
+    /** From the beginning of one batch to that of the next. */
+    public long batchEvery() {
+        return rules.stop + deploy.start + deploy.gap;
+    }
+
+    /** The longest that a client waits for an answer. */
+    public long longestTimeout() {
+        return groups.stream().mapToLong(Group::asyncTimeout).max().orElse(0);
+    }
+
     /** Price of all its relays. */
     public double price() {
         double price = 0;
--- a/lab/src/main/java/vetchrill/model/Chooser.java
+++ b/lab/src/main/java/vetchrill/model/Chooser.java
@@ -22,6 +22,21 @@
         int size();
 
         boolean listed(int relay);
+
+        /** By an array that whoever keeps the list goes on changing. */
+        static Roster of(boolean[] listed) {
+            return new Roster() {
+                @Override
+                public int size() {
+                    return listed.length;
+                }
+
+                @Override
+                public boolean listed(int relay) {
+                    return listed[relay];
+                }
+            };
+        }
     }
 
     private final Pool pool;
--- a/lab/src/main/java/vetchrill/model/Cores.java
+++ b/lab/src/main/java/vetchrill/model/Cores.java
@@ -15,7 +15,6 @@
     public static class Job implements Comparable<Job> {
         private double endsAt;
         private long number;
-        private boolean in;
 
         @Override
         public final int compareTo(Job other) {
@@ -72,19 +71,9 @@
         advance(now);
         job.endsAt = given + work;
         job.number = numbered++;
-        job.in = true;
         jobs.add(job);
     }
 
-    /** Takes a job off before its end; what it had got is lost. */
-    public void drop(Job job, long now) {
-        advance(now);
-        if (job.in) {
-            job.in = false;
-            jobs.remove(job);
-        }
-    }
-
     /** Another speed from now on: of a cold or a slowed machine. */
     public void pace(double pace, long now) {
         advance(now);
@@ -99,7 +88,6 @@
             return null;
         }
         jobs.poll();
-        first.in = false;
         return first;
     }
 
--- a/lab/src/main/java/vetchrill/model/Peaks.java
+++ b/lab/src/main/java/vetchrill/model/Peaks.java
@@ -19,12 +19,8 @@
     public double allAway;
     /** From the notice to leave until the last answer, of the time until the stop. */
     public double drain;
-    /** Tries sent to a relay that was gone, of all tries. */
-    public double unreachable;
     /** Calls in hand at the tier below, of its slots. */
     public double tier;
-    /** Arrivals at the relay that gets most, for each at the mean relay. */
-    public double hotSpot;
     /** Relays that died of their memory or of their crowd; and exchanges open at a stop. */
     public int fell;
     public int lostAtStop;
--- a/lab/src/main/java/vetchrill/model/SimRelay.java
+++ b/lab/src/main/java/vetchrill/model/SimRelay.java
@@ -19,10 +19,9 @@
 
     /** One try as a relay has it. */
     static final class Try extends Exchange {
-        final Asking asking;
+        final World.Drawn asking;
         final SimStub stub;
         final int life;
-        final double work;
         /** Its stub has its answer, or has given it up. */
         boolean done;
         /** Where it stands among the open ones of its relay; -1 once it is not. */
@@ -35,11 +34,10 @@
         /** Repeats that wait for its end. */
         List<Try> repeats;
 
-        Try(Asking asking, SimStub stub, int life, double work) {
+        Try(World.Drawn asking, SimStub stub, int life) {
             this.asking = asking;
             this.stub = stub;
             this.life = life;
-            this.work = work;
         }
     }
 
@@ -88,7 +86,6 @@
     private int looks;
     private long drainFrom;
     long lastAnswer;
-    long arrivals;
     private double readingWork;
     private double countedReading;
 
@@ -196,9 +193,6 @@
 
     /** A try reaches the machine: it is read before anything can be decided on it. */
     void arrive(Try ex, long now) {
-        if (world.counts(now)) {
-            arrivals++;
-        }
         ex.arrived = now;
         ex.group = groups.get(ex.asking.group);
         ex.customer = ex.asking.customer;
@@ -412,8 +406,9 @@
         each.booked += growth;
         memoryKb += growth;
         each.begunAt = now;
-        boolean calls = each.group.mayCall && world.calls(each.asking);
-        cores.add(new Task(each, calls ? Step.BEFORE_CALL : Step.WHOLE), calls ? each.work / 2 : each.work, now);
+        boolean calls = each.group.mayCall && each.asking.calls;
+        cores.add(new Task(each, calls ? Step.BEFORE_CALL : Step.WHOLE), calls ? each.asking.work / 2
+                : each.asking.work, now);
     }
 
     @Override
@@ -461,7 +456,7 @@
 
     private void goOn(Try ex, long now) {
         running++;
-        cores.add(new Task(ex, Step.AFTER_CALL), ex.work / 2, now);
+        cores.add(new Task(ex, Step.AFTER_CALL), ex.asking.work / 2, now);
     }
 
     @Override
--- a/lab/src/main/java/vetchrill/model/World.java
+++ b/lab/src/main/java/vetchrill/model/World.java
@@ -45,7 +45,6 @@
     private long bursts;
     private double burst = 1;
     private long allTries;
-    private long goneTries;
     long denied;
     private int callsInHand;
     /** When each batch of the rolling deploy begins, if there is one. */
@@ -67,51 +66,25 @@
         tally = new Tally(fleet, span);
         List<SimRelay> all = new ArrayList<>();
         SplittableRandom speeds = chance.split();
-        for (int zone = 0; zone < fleet.zones.size(); zone++) {
-            for (Map.Entry<String, Integer> each : fleet.zones.get(zone).relays().entrySet()) {
-                Fleet.Kind kind = fleet.kind(each.getKey());
-                for (int i = 0; i < each.getValue(); i++) {
-                    double speed = Math.max(0.2, 1 + kind.speedSpread() * Demand.Told.gauss(speeds));
-                    all.add(new SimRelay(this, all.size(), zone, kind, speed, fleet.stubs()));
-                }
-            }
+        for (Fleet.Place place : fleet.places()) {
+            double speed = Math.max(0.2, 1 + place.kind().speedSpread() * Demand.Told.gauss(speeds));
+            all.add(new SimRelay(this, all.size(), place.zone(), place.kind(), speed, fleet.stubs()));
         }
         relays = all.toArray(new SimRelay[0]);
         listed = new boolean[relays.length];
         reported = new int[relays.length];
         java.util.Arrays.fill(listed, true);
-        Chooser.Roster roster = new Chooser.Roster() {
-            @Override
-            public int size() {
-                return listed.length;
-            }
-
-            @Override
-            public boolean listed(int relay) {
-                return listed[relay];
-            }
-        };
+        Chooser.Roster roster = Chooser.Roster.of(listed);
         stubs = new SimStub[fleet.stubs()];
         int number = 0;
         for (Pool pool : fleet.pools) {
             for (int i = 0; i < pool.count(); i++) {
-                int zone = pool.zone().isEmpty() ? number % fleet.zones.size() : zoneNamed(pool.zone());
-                stubs[number] = new SimStub(this, number, zone, pool, new Chooser(pool, i, roster, reported,
-                        chance.split()));
+                stubs[number] = new SimStub(this, pool, number, new Chooser(pool, i, roster, reported, chance.split()));
                 number++;
             }
         }
     }
 
-    private int zoneNamed(String name) {
-        for (int i = 0; i < fleet.zones.size(); i++) {
-            if (fleet.zones.get(i).name().equals(name)) {
-                return i;
-            }
-        }
-        return 0;
-    }
-
     /** Plays the whole span. */
     public Run run() {
         for (SimRelay relay : relays) {
@@ -136,9 +109,8 @@
                 relay.countFromNow(now);
             }
         });
-        double[] used = new double[3];
-        at(span, now -> count(now, used));
-        long end = span + fleet.groups.stream().mapToLong(Fleet.Group::asyncTimeout).max().orElse(0) + 10;
+        at(span, this::count);
+        long end = span + fleet.longestTimeout() + 10;
         for (Event event = events.poll(); event != null && event.time <= end; event = events.poll()) {
             event.happen(event.time);
             eventsDone++;
@@ -146,22 +118,19 @@
         return new Run(tally, peaks, List.copyOf(batches), eventsDone);
     }
 
-    private void count(long now, double[] used) {
+    private void count(long now) {
         double counted = Math.max(1, now - countFrom);
-        double arrivals = 0;
-        double most = 0;
+        double busy = 0;
+        double reading = 0;
         for (SimRelay relay : relays) {
             double[] its = relay.counted(now);
-            used[0] += its[0] / counted;
+            busy += its[0] / counted;
             peaks.coresOfOne = Math.max(peaks.coresOfOne, its[0] / counted);
-            used[1] += its[1] / counted / relay.kind.cores() / relay.kind.speed();
-            arrivals += relay.arrivals;
-            most = Math.max(most, relay.arrivals);
+            reading += its[1] / counted / relay.kind.cores() / relay.kind.speed();
         }
-        peaks.cores = used[0] / relays.length;
-        peaks.reading = used[1] / relays.length;
+        peaks.cores = busy / relays.length;
+        peaks.reading = reading / relays.length;
         peaks.deniedTries = denied / Math.max(1.0, allTries);
-        peaks.unreachable = goneTries / Math.max(1.0, allTries);
         long choices = 0;
         long kept = 0;
         for (SimStub stub : stubs) {
@@ -169,7 +138,6 @@
             kept += stub.chooser.kept;
         }
         peaks.allAway = kept / Math.max(1.0, choices);
-        peaks.hotSpot = arrivals == 0 ? 1 : most * relays.length / arrivals;
     }
 
     boolean counts(long now) {
@@ -184,24 +152,9 @@
         return from == to ? fleet.network.within() : fleet.network.across();
     }
 
-    boolean calls(Asking asking) {
-        return ((Drawn) asking).calls;
-    }
-
     /** An answer, or the end of a connection, on its way to the stub. */
     void answer(SimRelay relay, SimRelay.Try ex, Asking.Answer answer, long away, boolean giveUp, long now) {
-        events.add(now + delay(ex.stub.zone, relay.zone), new Event() {
-            @Override
-            public void happen(long at) {
-                ex.stub.answered(relay, ex, answer, away, giveUp, at);
-            }
-        });
-    }
-
-    void unreachable(long now) {
-        if (counts(now)) {
-            goneTries++;
-        }
+        at(now + delay(ex.stub.zone, relay.zone), then -> ex.stub.answered(relay, ex, answer, away, giveUp, then));
     }
 
     /** A way to say what happens at a time. */
@@ -229,6 +182,16 @@
         return (long) Math.ceil(at);
     }
 
+    /** Counted as asked for; what is not known of it is drawn. */
+    private Drawn asking(Demand.Known first, long now) {
+        Fleet.Group told = fleet.groups.get(first.group());
+        double work = Double.isNaN(first.work()) ? demand.work(first.group(), chance) : first.work();
+        Drawn asking = new Drawn(first.group(), first.customer(), first.subject(), first.kb(), first.bytes(), now,
+                now + told.asyncTimeout(), work, told.calls() > 0 && chance.nextDouble() < told.calls());
+        tally.asks(asking);
+        return asking;
+    }
+
     private final class First extends Event {
         private final long of = bursts;
 
@@ -238,11 +201,8 @@
                 return;
             }
             int group = demand.group(chance);
-            Fleet.Group told = fleet.groups.get(group);
-            Asking asking = new Drawn(group, demand.customer(chance), demand.subject(chance), demand.kb(group, chance),
-                    demand.bytes(group, chance), now, now + told.asyncTimeout(), demand.work(group, chance),
-                    told.calls() > 0 && chance.nextDouble() < told.calls());
-            tally.asks(asking);
+            Drawn asking = asking(new Demand.Known(now, -1, group, demand.customer(chance), demand.subject(chance),
+                    demand.kb(group, chance), demand.bytes(group, chance), Double.NaN), now);
             stubs[chance.nextInt(stubs.length)].send(asking, now);
             events.add(nextFirst(now), new First());
         }
@@ -263,12 +223,7 @@
             }
             Demand.Known first = known.get(place);
             for (double left = burst; left > 0 && chance.nextDouble() < left; left--) {
-                Fleet.Group told = fleet.groups.get(first.group());
-                double work = Double.isNaN(first.work()) ? demand.work(first.group(), chance) : first.work();
-                Asking asking = new Drawn(first.group(), first.customer(), first.subject(), first.kb(), first.bytes(),
-                        now,
-                        now + told.asyncTimeout(), work, told.calls() > 0 && chance.nextDouble() < told.calls());
-                tally.asks(asking);
+                Drawn asking = asking(first, now);
                 int stub = first.stub() >= 0 && first.stub() < stubs.length ? first.stub()
                         : chance.nextInt(stubs.length);
                 stubs[stub].send(asking, now);
@@ -413,24 +368,13 @@
     }
 
     private void roll(long from) {
-        List<SimRelay> order = new ArrayList<>(List.of(relays));
-        if (fleet.deploy.spread()) {
-            // One of each zone in turn, as far as there are any left.
-            int[] seen = new int[fleet.zones.size()];
-            int[] rank = new int[relays.length];
-            for (SimRelay relay : relays) {
-                rank[relay.number] = seen[relay.zone]++;
-            }
-            order.sort((a, b) -> rank[a.number] != rank[b.number] ? rank[a.number] - rank[b.number] : a.zone - b.zone);
-        }
-        int size = Math.max(1, (int) Math.round(fleet.deploy.batch() * relays.length));
-        long period = fleet.rules.stop() + fleet.deploy.start() + fleet.deploy.gap();
-        for (int i = 0; i * size < order.size(); i++) {
-            List<SimRelay> batch = order.subList(i * size, Math.min(order.size(), (i + 1) * size));
-            long begins = from + i * period;
-            batches.add(begins);
-            for (SimRelay relay : batch) {
-                at(begins, now -> replace(relay, now));
+        long begins = from;
+        for (List<Integer> batch : fleet.batches()) {
+            long at = begins;
+            begins += fleet.batchEvery();
+            batches.add(at);
+            for (int relay : batch) {
+                at(at, now -> replace(relays[relay], now));
             }
         }
     }
--- a/lab/src/main/java/vetchrill/planner/Fit.java
+++ b/lab/src/main/java/vetchrill/planner/Fit.java
@@ -229,12 +229,9 @@
                 }
             }
             // What waited for a start or for the garbage collector is no core time of the machine.
-            readings.put(kind.name(), reading.trimmed());
-            kinds.add(new Kind(kind.name(), kind.cores(), kind.speed(), kind.speedSpread(),
-                    reading.count() == 0 ? kind.reading() : reading.trimmed().mean(), curve.from, curve.loss,
-                            kind.memoryKb(),
-                    kind.table(), kind.tableTax(), kind.connect(), kind.descriptors(), kind.coldShare(), kind.warmUp(),
-                    kind.price()));
+            Sample trimmed = reading.trimmed();
+            readings.put(kind.name(), trimmed);
+            kinds.add(kind.with(trimmed.count() == 0 ? kind.reading() : trimmed.mean(), curve.from, curve.loss));
         }
         return readings;
     }
@@ -270,22 +267,24 @@
                 rows += each.rows;
             }
         }
+        double most = 0;
+        int crowded = 0;
+        for (Capture each : used) {
+            Attained attained = new Attained(each, kind, 0);
+            for (int i = 0; i < each.rows; i++) {
+                double perCore = attained.perCore(each.arrived[i]);
+                most = Math.max(most, perCore);
+                crowded += perCore > CROWD_SEEN ? 1 : 0;
+            }
+        }
+        if (crowded < CROWD_ROWS) {
+            return unseen(kind);
+        }
         List<Curve> curves = new ArrayList<>();
         List<Double> off = new ArrayList<>();
         double best = Double.MAX_VALUE;
-        double most = 0;
-        int crowded = 0;
         for (long latency : LATENCY) {
             List<Attained> attained = new Curve(1, 0, latency).applied(used, kind);
-            if (latency == 0) {
-                for (int c = 0; c < used.size(); c++) {
-                    for (int i = 0; i < used.get(c).rows; i++) {
-                        double perCore = attained.get(c).perCore(used.get(c).arrived[i]);
-                        most = Math.max(most, perCore);
-                        crowded += perCore > CROWD_SEEN ? 1 : 0;
-                    }
-                }
-            }
             for (double from : FROM) {
                 for (double loss : LOSS) {
                     if (loss == 0 && from > FROM[0]) {
@@ -301,17 +300,6 @@
                 }
             }
         }
-        if (crowded < CROWD_ROWS) {
-            boolean told = !Double.isNaN(kind.crowdFrom());
-            double from = told ? kind.crowdFrom() : 1_000;
-            double loss = told ? kind.crowdLoss() : 0;
-            remarks.add("hardly a relay of kind '" + kind.name() + "' was crowded: " + (told
-                    ? "its crowding is that of the fleet file" : "it is taken to lose nothing by a crowd"));
-            lines.add(new Told("speed lost by " + kind.name() + " for each job past " + from + " a core", loss, loss,
-                    loss,
-                    "", Told.UNSEEN));
-            return new Curve(from, loss, 0);
-        }
         Curve found = null;
         double low = 1;
         double high = 0;
@@ -327,11 +315,23 @@
         }
         lines.add(new Told("speed lost by " + kind.name() + " with " + Math.round(most * 10) / 10.0
                 + " jobs for each core, " + found.loss + " for each past " + found.from, found.lost(most), low, high,
-                        "",
-                Told.CAPTURE));
+                "", Told.CAPTURE));
         return found;
     }
 
+    /** What is taken for a kind of which hardly a relay was crowded. */
+    private Curve unseen(Kind kind) {
+        boolean known = !Double.isNaN(kind.crowdFrom());
+        double from = known ? kind.crowdFrom() : 1_000;
+        double loss = known ? kind.crowdLoss() : 0;
+        remarks.add("hardly a relay of kind '" + kind.name() + "' was crowded: " + (known
+                ? "its crowding is that of the fleet file" : "it is taken to lose nothing by a crowd"));
+        lines.add(new Told("speed lost by " + kind.name() + " for each job past " + from + " a core", loss, loss,
+                loss, "",
+                Told.UNSEEN));
+        return new Curve(from, loss, 0);
+    }
+
     /**
      * How much what jobs are found to have got differs by the crowd that they began in, for what chance and
      * unevenness of no account would give. A reading costs the same each time, and its middle is proof against the
@@ -435,13 +435,11 @@
 
     private List<Group> shares(int[] groupOf) {
         double[] firsts = new double[told.groups.size()];
-        double[] all = new double[firsts.length];
         double total = 0;
         for (int i = 0; i < merged.rows; i++) {
             Capture capture = merged.captures.get(merged.capture[i]);
             int row = merged.row[i];
             int group = groupOf[capture.group[row]];
-            all[group]++;
             if (!merged.further[i]) {
                 firsts[group]++;
                 total++;
@@ -469,21 +467,18 @@
                 }
                 lines.add(Told.file("work of " + group.name(), group.work() / 10, "ms"));
             }
-            groups.add(new Group(group.name(), group.effect(), group.sloTime(), group.asyncTimeout(), group.benefit(),
-                    group.lateShare(), share, works[g].count() > 0 ? works[g].mean() : group.work(),
+            groups.add(group.with(share, works[g].count() > 0 ? works[g].mean() : group.work(),
                     works[g].count() > 0 ? works[g].spread() : group.workSpread(),
-                    memories[g].count() > 0 ? memories[g].mean() : group.kb(), (int) Math.round(
-                            sizes[g].count() > 0 ? sizes[g].mean() : group.bytes()), group.calls(),
-                                    group.withoutCall()));
+                    memories[g].count() > 0 ? memories[g].mean() : group.kb(),
+                    (int) Math.round(sizes[g].count() > 0 ? sizes[g].mean() : group.bytes())));
         }
         return groups;
     }
 
     private static List<Group> withShares(List<Group> groups) {
-        return groups.stream().map(group -> new Group(group.name(), group.effect(), group.sloTime(),
-                group.asyncTimeout(), group.benefit(), group.lateShare(), 1.0 / groups.size(),
-                Double.isNaN(group.work()) ? 1 : group.work(), Double.isNaN(group.workSpread()) ? 0.5
-                        : group.workSpread(), 1, 1, 0, 0)).toList();
+        return groups.stream().map(group -> group.with(1.0 / groups.size(), Double.isNaN(group.work()) ? 1
+                : group.work(),
+                Double.isNaN(group.workSpread()) ? 0.5 : group.workSpread(), 1, 1)).toList();
     }
 
     private void add(String what, Sample sample) {
--- a/lab/src/main/java/vetchrill/planner/Laws.java
+++ b/lab/src/main/java/vetchrill/planner/Laws.java
@@ -95,12 +95,7 @@
     private static double late(Fleet fleet, double busy) {
         double late = 0;
         double all = 0;
-        int cores = 0;
-        for (Fleet.Zone zone : fleet.zones) {
-            for (var each : zone.relays().entrySet()) {
-                cores += each.getValue() * fleet.kind(each.getKey()).cores();
-            }
-        }
+        int cores = fleet.places().stream().mapToInt(place -> place.kind().cores()).sum();
         int c = (int) Math.max(1, Math.round(cores / Math.max(1.0, fleet.relays())));
         for (Group group : fleet.groups) {
             double own = group.work() + fleet.meanReading();
@@ -140,9 +135,4 @@
         double busy = a / c;
         return blocked / (1 - busy + busy * blocked);
     }
-
-    /** The load up to which only the good state holds. */
-    public double safeLoad() {
-        return perS * (1 - shed);
-    }
 }
--- a/lab/src/main/java/vetchrill/planner/LimitFinder.java
+++ b/lab/src/main/java/vetchrill/planner/LimitFinder.java
@@ -14,6 +14,8 @@
 public final class LimitFinder {
     private static final double[] LOADS = {0.3, 0.5, 0.65, 0.8, 0.9, 1, 1.1, 1.2, 1.35, 1.5, 1.75, 2, 2.5};
 
+    /** By so much the laws may be off before the plan says so. */
+    private static final double EXPLAINED = 0.05;
     /** Where the load of now stands among them. */
     private static final int NOW = 5;
 
@@ -29,7 +31,7 @@
     }
 
     /** One limit with the load at which it is reached, as a multiple of the load of now; NaN where it never was. */
-    public record Reached(String name, String at, Spread load, int seeds, double now) {
+    public record Reached(String name, String at, Spread load, double now) {
     }
 
     private final Basis basis;
@@ -116,7 +118,7 @@
         }
         Spread spread = loads.size() * 2 <= sweep.seeds ? new Spread(Double.NaN, Double.NaN, Double.NaN)
                 : Spread.of(loads.stream().mapToDouble(Double::doubleValue).toArray());
-        return new Reached(watch.name, watch.at, spread, loads.size(), now / watch.limit);
+        return new Reached(watch.name, watch.at, spread, now / watch.limit);
     }
 
     private Answer answer() {
@@ -171,9 +173,6 @@
         return answer;
     }
 
-    /** By so much the laws may be off before the plan says so. */
-    private static final double EXPLAINED = 0.05;
-
     /** For whoever reads them by name. */
     public Map<String, Spread> byName() {
         Map<String, Spread> names = new java.util.LinkedHashMap<>();
--- a/lab/src/main/java/vetchrill/planner/Losses.java
+++ b/lab/src/main/java/vetchrill/planner/Losses.java
@@ -68,11 +68,12 @@
         List<Run> runs = play(List.of(new Trouble.Lose(at, Long.MAX_VALUE, lost)), span);
         int second = (int) (at / Profile.SECOND);
         int end = (int) (span / Profile.SECOND);
+        double settled = settled(runs, end);
         // Back in what is left of the fleet: as good as that can be at this load.
-        Back back = back(runs, second, second, end, settled(runs, end));
+        Back back = back(runs, second, end, settled);
         row(table, lost, "alone, for good", runs, second, end, back, Double.NaN);
         chart.series().add(series(words(lost) + ", for good", runs, second, end));
-        if (!back.all && settled(runs, end) < AS_GOOD * before(runs, second)) {
+        if (!back.all && settled < AS_GOOD * before(runs, second)) {
             answer.remark("without " + words(lost) + " the fleet has too little for this load, however long one waits");
         }
     }
@@ -90,9 +91,8 @@
     private void inDeploy(Set<String> lost, Answer answer, Answer.Table table) {
         long from = 2 * sweep.countFrom;
         Fleet fleet = basis.fleet;
-        long period = fleet.rules.stop() + fleet.deploy.start() + fleet.deploy.gap();
-        int size = Math.max(1, (int) Math.round(fleet.deploy.batch() * fleet.relays()));
-        int batches = (fleet.relays() + size - 1) / size;
+        long period = fleet.batchEvery();
+        int batches = fleet.batches().size();
         long[] phases = {fleet.rules.stop() / 2, fleet.rules.stop() + fleet.deploy.start() / 2,
             fleet.rules.stop() + fleet.deploy.start() + fleet.deploy.gap() / 2};
         String[] names = {"draining", "stopped", "starting cold"};
@@ -117,7 +117,7 @@
                 List<Run> runs = play(List.of(roll, lose), span);
                 int second = (int) (at / Profile.SECOND);
                 int end = (int) (span / Profile.SECOND);
-                Back back = back(runs, second, (int) (Math.max(at, over) / Profile.SECOND), end, level);
+                Back back = back(runs, (int) (Math.max(at, over) / Profile.SECOND), end, level);
                 Spread after = after(runs, second, second + 20);
                 String when = "batch " + (batch + 1) + " of " + batches + " " + names[phase];
                 if (after.mean() < worst) {
@@ -133,8 +133,7 @@
                 + "twenty seconds after it", words(lost), named, worst));
         if (!worstBack.all) {
             long ends = Math.max(worstLoss.from(), over);
-            double shed = shed(List.of(roll, worstLoss), ends, ends + 25L * Profile.SECOND,
-                    (int) (worstLoss.from() / Profile.SECOND), level);
+            double shed = shed(List.of(roll, worstLoss), ends, ends + 25L * Profile.SECOND, level);
             answer.remark("there the fleet does not come back by itself once the deploy is over" + (Double.isNaN(shed)
                     ? ", nor with nine tenths of the load shed" : "; it does with " + Math.round(100 * shed)
                     + "% of the load shed from then on"));
@@ -150,9 +149,9 @@
         int second = (int) (at / Profile.SECOND);
         int returned = (int) (back / Profile.SECOND);
         int end = (int) (span / Profile.SECOND);
-        Back itself = back(runs, second, returned, end, before(runs, second));
-        double shed = itself.all ? 0 : shed(List.of(lose), back, span, second,
-                before(runs, second));
+        double before = before(runs, second);
+        Back itself = back(runs, returned, end, before);
+        double shed = itself.all ? 0 : shed(List.of(lose), back, span, before);
         row(table, lost, "and back cold after " + GONE / Profile.SECOND + " s", runs, second, end, itself, shed);
         chart.series().add(series(words(lost) + ", back after " + GONE / Profile.SECOND + " s", runs, second, end));
         if (!itself.all) {
@@ -164,11 +163,11 @@
     }
 
     /** The least part of the load that, shed from the return on, brings all runs back in time; NaN where none does. */
-    private double shed(List<Trouble> causes, long from, long span, int second, double level) {
+    private double shed(List<Trouble> causes, long from, long span, double level) {
         for (double part : SHED) {
             List<Trouble> all = new ArrayList<>(causes);
             all.add(new Trouble.Burst(from, Long.MAX_VALUE / 2, 1 - part));
-            if (back(play(all, span), second, (int) (from / Profile.SECOND), (int) (span / Profile.SECOND),
+            if (back(play(all, span), (int) (from / Profile.SECOND), (int) (span / Profile.SECOND),
                     level).all) {
                 return part;
             }
@@ -180,7 +179,7 @@
     private record Back(boolean all, int runs, Spread after) {
     }
 
-    private Back back(List<Run> runs, int second, int causeEnds, int end, double level) {
+    private Back back(List<Run> runs, int causeEnds, int end, double level) {
         List<Double> times = new ArrayList<>();
         for (Run run : runs) {
             for (int i = causeEnds; i + STEADY <= end; i++) {
--- a/lab/src/main/java/vetchrill/planner/Profile.java
+++ b/lab/src/main/java/vetchrill/planner/Profile.java
@@ -10,7 +10,6 @@
     /** First tries for each tenth of a millisecond. */
     final double[] rates;
     final double peak;
-    final double mean;
     final double dispersion;
 
     Profile(Merged merged, double scale) {
@@ -29,7 +28,6 @@
         double all = merged.firstTries() / Math.max(1, raw) * scale;
         rates = new double[seconds];
         double most = 0;
-        double sum = 0;
         // A second of its own noise is no shape: each is drawn towards its neighbours.
         for (int i = 0; i < seconds; i++) {
             double near = 0;
@@ -41,10 +39,8 @@
             }
             rates[i] = near / weights * all / SECOND;
             most = Math.max(most, rates[i]);
-            sum += rates[i];
         }
         peak = most;
-        mean = sum / seconds;
         double average = raw / halves.length;
         double variance = 0;
         for (double half : halves) {
--- a/lab/src/main/java/vetchrill/standin/Rig.java
+++ b/lab/src/main/java/vetchrill/standin/Rig.java
@@ -28,6 +28,7 @@
 import vetchrill.model.Asking;
 import vetchrill.model.Chooser;
 import vetchrill.model.Demand;
+import vetchrill.model.Stub;
 import vetchrill.model.Tally;
 
 /**
@@ -38,7 +39,6 @@
 public final class Rig implements Closeable {
     /** First tries later than this at the 99th percentile make a run void, in tenths of a millisecond. */
     private static final long LATE = 250;
-    private static final long LOOK_AGAIN = 1_000;
     private static final long LONGEST_READING = 150_000;
     private static final int OPEN_PER_CONNECTION = 32;
     private static final int START_S = 60;
@@ -76,22 +76,42 @@
         }
     }
 
-    private final class StubSide {
-        final int number;
-        final int zone;
-        final Pool pool;
-        final Chooser chooser;
+    private final class StubSide extends Stub {
         final List<List<Line>> lines = new ArrayList<>();
 
-        StubSide(int number, int zone, Pool pool, Chooser chooser) {
-            this.number = number;
-            this.zone = zone;
-            this.pool = pool;
-            this.chooser = chooser;
+        StubSide(Pool pool, int number, Chooser chooser) {
+            super(fleet, pool, number, chooser, tally);
             for (int i = 0; i < seats.size(); i++) {
                 lines.add(new ArrayList<>());
             }
         }
+
+        @Override
+        protected void go(Asking asking, int relay, long giveUpAt, long now) {
+            Seat seat = seats.get(relay);
+            Sent sent = new Sent(asking, this, seat, String.format("%016x", ids.incrementAndGet() << 8 | relay));
+            at(now + delay(this, seat), () -> arrive(sent));
+            at(giveUpAt, () -> answered(sent, Asking.Answer.TIMED_OUT, 0, false));
+        }
+
+        @Override
+        protected void later(Asking asking, long time) {
+            at(time, () -> goOn(asking, now()));
+        }
+
+        @Override
+        protected void ended(Asking asking, Asking.Answer answer, long now) {
+            if (answer == Asking.Answer.COMPLETED) {
+                latency.recordValue(Math.max(0, now - asking.from));
+            }
+        }
+
+        void answered(Sent sent, Asking.Answer answer, long away, boolean giveUp) {
+            if (!sent.done) {
+                sent.done = true;
+                tried(sent.asking, sent.seat.number, answer, away, giveUp, now());
+            }
+        }
     }
 
     private static final class Line {
@@ -119,6 +139,7 @@
     private final List<Seat> seats = new ArrayList<>();
     private final List<StubSide> stubs = new ArrayList<>();
     private final boolean[] listed;
+    /** Nothing is reported here: a stub that goes by reports chooses by chance. */
     private final int[] reported;
     private final long[] heardAt;
     private final Boolean[] phase;
@@ -141,8 +162,10 @@
     /** Whoever is stopped in the middle leaves no process behind. */
     private final Thread leftovers = new Thread(this::killAll);
 
-    /** {@code flush}: the instances write captures into a folder below {@code folder}, each row so many
-     * milliseconds late at most; 0 for no captures. */
+    /**
+     * {@code flush}: the instances write captures into a folder below {@code folder}, each row so many milliseconds
+     * late at most; 0 for no captures.
+     */
     public Rig(Fleet fleet, Demand demand, long span, long seed, Path folder, int flush) throws IOException {
         this.fleet = fleet;
         this.demand = demand;
@@ -158,33 +181,14 @@
         phase = new Boolean[n];
         allUp = new CountDownLatch(n);
         membership = new Membership(this::report);
-        for (int zone = 0; zone < fleet.zones.size(); zone++) {
-            for (Map.Entry<String, Integer> each : fleet.zones.get(zone).relays().entrySet()) {
-                for (int i = 0; i < each.getValue(); i++) {
-                    seats.add(new Seat(fleet, folder, membership.port(), flush, seats.size(), zone,
-                            fleet.kind(each.getKey()), seed));
-                }
-            }
+        for (Fleet.Place place : fleet.places()) {
+            seats.add(new Seat(fleet, folder, membership.port(), flush, seats.size(), place.zone(), place.kind(),
+                    seed));
         }
-        Chooser.Roster roster = new Chooser.Roster() {
-            @Override
-            public int size() {
-                return listed.length;
-            }
-
-            @Override
-            public boolean listed(int relay) {
-                return listed[relay];
-            }
-        };
-        int number = 0;
+        Chooser.Roster roster = Chooser.Roster.of(listed);
         for (Pool pool : fleet.pools) {
             for (int i = 0; i < pool.count(); i++) {
-                int zone = number % fleet.zones.size();
-                for (int z = 0; z < fleet.zones.size(); z++) {
-                    zone = fleet.zones.get(z).name().equals(pool.zone()) ? z : zone;
-                }
-                stubs.add(new StubSide(number++, zone, pool, new Chooser(pool, i, roster, reported, chance.split())));
+                stubs.add(new StubSide(pool, stubs.size(), new Chooser(pool, i, roster, reported, chance.split())));
             }
         }
     }
@@ -217,7 +221,7 @@
     public Played play() throws IOException, InterruptedException {
         start();
         go();
-        long end = span + fleet.groups.stream().mapToLong(Fleet.Group::asyncTimeout).max().orElse(0) + 1_000;
+        long end = span + fleet.longestTimeout() + 1_000;
         // What has come to a machine is read before the end, however long that takes a swamped one.
         while (now() < end || unread > 0 && now() < end + LONGEST_READING) {
             Thread.sleep(20);
@@ -225,7 +229,7 @@
         return end();
     }
 
-    /** Starts all instances, at most as many at once as there are cores, and waits until they are up. */
+    /** Starts all instances and waits until they are up. */
     public void start() throws IOException, InterruptedException {
         Runtime.getRuntime().addShutdownHook(leftovers);
         for (Seat seat : seats) {
@@ -341,26 +345,7 @@
                 * 1_000) / 1_000.0, body.length, time, time + fleet.groups.get(group).asyncTimeout(),
                 demand.work(group, draws), body);
         tally.asks(task);
-        send(task, stubs.get(draws.nextInt(stubs.size())));
-    }
-
-    private void send(Asking asking, StubSide stub) {
-        long now = now();
-        int chosen = stub.chooser.choose(asking, now);
-        if (chosen < 0) {
-            if (now + LOOK_AGAIN < asking.until && stub.pool.retry() != Fleet.Retry.NONE) {
-                at(now + LOOK_AGAIN, () -> send(asking, stub));
-            } else {
-                end(asking, Asking.Answer.UNREACHABLE, now);
-            }
-            return;
-        }
-        Seat seat = seats.get(chosen);
-        stub.chooser.sent(asking, chosen);
-        tally.tries(now);
-        Sent sent = new Sent(asking, stub, seat, String.format("%016x", ids.incrementAndGet() << 8 | chosen));
-        at(now + delay(stub, seat), () -> arrive(sent));
-        at(stub.chooser.giveUpAt(asking, now), () -> answered(sent, Asking.Answer.TIMED_OUT, 0, false));
+        stubs.get(draws.nextInt(stubs.size())).send(task, now());
     }
 
     private long delay(StubSide stub, Seat seat) {
@@ -467,45 +452,7 @@
 
     /** On its way back to the stub. */
     private void later(Sent sent, Asking.Answer answer, long away, boolean giveUp) {
-        at(now() + delay(sent.stub, sent.seat), () -> answered(sent, answer, away, giveUp));
-    }
-
-    private void answered(Sent sent, Asking.Answer answer, long away, boolean giveUp) {
-        if (sent.done) {
-            return;
-        }
-        sent.done = true;
-        long now = now();
-        if (answer == Asking.Answer.DENIED) {
-            tally.denied(now);
-        }
-        Asking asking = sent.asking;
-        long next = sent.stub.chooser.after(asking, fleet.groups.get(asking.group), sent.seat.number, answer, away,
-                giveUp, now);
-        if (asking.over) {
-            return;
-        }
-        if (next < 0) {
-            end(asking, answer, now);
-        } else if (next <= now) {
-            send(asking, sent.stub);
-        } else {
-            at(next, () -> {
-                if (!asking.over) {
-                    send(asking, sent.stub);
-                }
-            });
-        }
-    }
-
-    private void end(Asking asking, Asking.Answer answer, long now) {
-        if (!asking.over) {
-            asking.over = true;
-            tally.over(asking, answer, now);
-            if (answer == Asking.Answer.COMPLETED) {
-                latency.recordValue(Math.max(0, now - asking.from));
-            }
-        }
+        at(now() + delay(sent.stub, sent.seat), () -> sent.stub.answered(sent, answer, away, giveUp));
     }
 
     // The roster.
@@ -543,7 +490,6 @@
                 listed[i] = false;
                 phase[i] = Boolean.FALSE;
             }
-            reported[i] = 0;
         }
         if (!over) {
             at(now + 500, this::silence);
@@ -645,20 +591,10 @@
     }
 
     private void roll(long from) {
-        List<Seat> order = new ArrayList<>(seats);
-        if (fleet.deploy.spread()) {
-            Map<Seat, Integer> rank = new HashMap<>();
-            int[] seen = new int[fleet.zones.size()];
-            for (Seat seat : seats) {
-                rank.put(seat, seen[seat.zone]++);
-            }
-            order.sort((a, b) -> !rank.get(a).equals(rank.get(b)) ? rank.get(a) - rank.get(b) : a.zone - b.zone);
-        }
-        int size = Math.max(1, (int) Math.round(fleet.deploy.batch() * seats.size()));
-        long period = fleet.rules.stop() + fleet.deploy.start() + fleet.deploy.gap();
-        for (int i = 0; i * size < order.size(); i++) {
-            List<Seat> batch = order.subList(i * size, Math.min(order.size(), (i + 1) * size));
-            at(from + i * period, () -> batch.forEach(this::replace));
+        long begins = from;
+        for (List<Integer> batch : fleet.batches()) {
+            at(begins, () -> batch.forEach(seat -> replace(seats.get(seat))));
+            begins += fleet.batchEvery();
         }
     }
 
--- a/lab/src/main/java/vetchrill/standin/Seat.java
+++ b/lab/src/main/java/vetchrill/standin/Seat.java
@@ -3,9 +3,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,7 +10,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import vetchrill.fleet.Briefing;
 import vetchrill.fleet.Fleet;
@@ -28,10 +24,6 @@
     record Due(double work, byte[] body) {
     }
 
-    private static final int LEAST_PORT = 16_000;
-    private static final int MOST_PORT = 32_000;
-    private static final int PORT_TRIES = 100;
-
     private final Fleet fleet;
     private final Path folder;
     private final int membership;
@@ -66,23 +58,7 @@
         this.seed = seed;
         name = "r" + (number + 1);
         machine = new Machine(kind);
-        port = freePort();
-    }
-
-    /**
-     * A port for good, though nothing listens on it between two processes: not one of those that the system hands
-     * out, or some connection of another seat has it by then.
-     */
-    private static int freePort() throws IOException {
-        for (int i = 0; i < PORT_TRIES; i++) {
-            int port = ThreadLocalRandom.current().nextInt(LEAST_PORT, MOST_PORT);
-            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return free.getLocalPort();
-            } catch (BindException e) {
-                // Somebody has it.
-            }
-        }
-        throw new IOException("no free port from " + LEAST_PORT + " to " + MOST_PORT);
+        port = Ports.free();
     }
 
     /** Starts a process; what it is told and what it logs stay in the rig's folder. */
--- a/lab/src/main/java/vetchrill/tool/FloodCommand.java
+++ b/lab/src/main/java/vetchrill/tool/FloodCommand.java
@@ -4,11 +4,8 @@
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -24,11 +21,10 @@
 import picocli.CommandLine.Parameters;
 import vetchrill.fleet.Briefing;
 import vetchrill.fleet.Fleet;
-import vetchrill.fleet.FleetFile;
-import vetchrill.hcl.Block;
 import vetchrill.protocol.DeploymentReader;
 import vetchrill.standin.Interpreter;
 import vetchrill.standin.Membership;
+import vetchrill.standin.Ports;
 import vetchrill.standin.StubFrames;
 
 /** What one exchange costs an instance, of one text against another: as many as it can do, runs that take no time. */
@@ -70,10 +66,7 @@
     }
 
     private double[] flood(Path jar) throws IOException, InterruptedException {
-        Fleet fleet;
-        try (InputStream in = FloodCommand.class.getResourceAsStream("/vetchrill/try.hcl")) {
-            fleet = FleetFile.read(Block.parse("try.hcl", new String(in.readAllBytes(), StandardCharsets.UTF_8)));
-        }
+        Fleet fleet = TryCommand.small();
         CountDownLatch up = new CountDownLatch(1);
         Interpreter[] interpreter = new Interpreter[1];
         interpreter[0] = new Interpreter(new Interpreter.Work() {
@@ -87,10 +80,7 @@
                 return "0.1 0 0 0";
             }
         }, false);
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        int port = Ports.free();
         Path file = Files.createTempFile("vetchrill-flood", ".json");
         Membership membership = new Membership((name, is, call) -> up.countDown());
         ObjectNode told = DeploymentReader.JSON.createObjectNode();
--- a/lab/src/main/java/vetchrill/tool/MeasureCommand.java
+++ b/lab/src/main/java/vetchrill/tool/MeasureCommand.java
@@ -13,6 +13,7 @@
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
 import org.openjdk.jmh.runner.options.TimeValue;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -65,7 +66,8 @@
                 fleet.relays(), fleet.load.perS(), run.tally().inflation(0, 60), wheel, heap, run.events(),
                 Runtime.getRuntime().maxMemory() >> 20, used >> 20);
         ProveCommand proof = new ProveCommand();
-        proof.of(small, seeds, firstSeed);
+        new CommandLine(proof).parseArgs(small.toString(), "--seeds", Integer.toString(seeds), "--first-seed",
+                Integer.toString(firstSeed), "--beside", "3");
         int code = proof.call();
         System.out.printf(Locale.ROOT, "measure planner: worst_error_points=%.1f mean_error_points=%.1f "
                 + "other_load_worst_points=%.1f other_load_mean_points=%.1f sim_relays=%d sim_seconds_per_minute=%.2f "
--- a/lab/src/main/java/vetchrill/tool/ProveCommand.java
+++ b/lab/src/main/java/vetchrill/tool/ProveCommand.java
@@ -4,7 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
@@ -17,11 +16,11 @@
 import picocli.CommandLine.Parameters;
 import vetchrill.capture.Capture;
 import vetchrill.capture.Merged;
+import vetchrill.files.Folders;
 import vetchrill.fleet.Fleet;
 import vetchrill.fleet.Fleet.Group;
 import vetchrill.fleet.Fleet.Kind;
 import vetchrill.fleet.Fleet.Load;
-import vetchrill.fleet.Fleet.Pool;
 import vetchrill.fleet.Fleet.Retry;
 import vetchrill.fleet.Fleet.Subjects;
 import vetchrill.fleet.FleetFile;
@@ -86,17 +85,6 @@
     double otherWorst;
     double otherMean;
 
-    /** For a caller that is not the command line. */
-    void of(Path file, int seeds, int firstSeed) {
-        this.file = file;
-        this.seeds = seeds;
-        this.firstSeed = firstSeed;
-        seconds = 18;
-        beside = 3;
-        flush = 200;
-        folder = Path.of("lab/target/prove");
-    }
-
     private record Case(String name, double load, Retry retry, List<Trouble> troubles) {
     }
 
@@ -202,23 +190,15 @@
 
     /** The fleet with this case's habits and troubles; what was fitted stays. */
     private static Fleet with(Fleet fleet, Case each) {
-        List<Pool> pools = new ArrayList<>();
-        for (Pool pool : fleet.pools) {
-            pools.add(new Pool(pool.name(), pool.count(), pool.habit(), each.retry, pool.tries(), pool.pause(),
-                    pool.tryTimeout(), pool.heed(), pool.zone()));
-        }
-        return fleet.withPools(pools).withTroubles(each.troubles);
+        return fleet.withPools(fleet.pools.stream().map(pool -> pool.with(each.retry)).toList())
+                .withTroubles(each.troubles);
     }
 
     /** What a planner is given: no work, no reading, no shares, no load; those it has to find in the capture. */
     static Fleet without(Fleet fleet) {
-        List<Kind> kinds = fleet.kinds.stream().map(kind -> new Kind(kind.name(), kind.cores(), kind.speed(),
-                kind.speedSpread(), Double.NaN, Double.NaN, Double.NaN, kind.memoryKb(), kind.table(), kind.tableTax(),
-                kind.connect(), kind.descriptors(), kind.coldShare(), kind.warmUp(), kind.price())).toList();
-        List<Group> groups = fleet.groups.stream().map(group -> new Group(group.name(), group.effect(), group.sloTime(),
-                group.asyncTimeout(), group.benefit(), group.lateShare(), Double.NaN, Double.NaN, Double.NaN,
-                        Double.NaN,
-                64, group.calls(), group.withoutCall())).toList();
+        double none = Double.NaN;
+        List<Kind> kinds = fleet.kinds.stream().map(kind -> kind.with(none, none, none)).toList();
+        List<Group> groups = fleet.groups.stream().map(group -> group.with(none, none, none, none, 64)).toList();
         return fleet.fitted(kinds, groups, new Load(Double.NaN, 0, fleet.load.period()), new Subjects(-1, Double.NaN));
     }
 
@@ -234,7 +214,8 @@
     /** Null where the run was void. A promise that was broken ends the whole. */
     private Outcome playOnce(Fleet world, Case each, int seed) throws IOException, InterruptedException {
         Path run = folder.resolve(each.name.replaceAll("[^0-9a-z]+", "-") + "-" + seed);
-        empty(run);
+        Folders.remove(run);
+        Files.createDirectories(run);
         Fleet playing = with(world.withLoad(world.fullLoad() * each.load), each);
         Played played;
         try (Rig rig = new Rig(playing, Demand.rising(new Demand.Told(playing), BEFORE, RISEN), seconds * 10_000L,
@@ -261,15 +242,4 @@
         return new double[] {outcome.played.arrived().size() / Math.max(1.0, first),
             merged.rows / merged.firstTries()};
     }
-
-    private static void empty(Path folder) throws IOException {
-        if (Files.exists(folder)) {
-            try (var all = Files.walk(folder)) {
-                for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(each);
-                }
-            }
-        }
-        Files.createDirectories(folder);
-    }
 }
--- a/lab/src/main/java/vetchrill/tool/TryCommand.java
+++ b/lab/src/main/java/vetchrill/tool/TryCommand.java
@@ -6,12 +6,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import vetchrill.files.Folders;
 import vetchrill.fleet.Fleet;
 import vetchrill.fleet.FleetFile;
 import vetchrill.fleet.Trouble;
@@ -84,7 +84,7 @@
                 }
                 line(rig, second, troubles);
             }
-            long end = seconds * 10_000L + fleet.groups.stream().mapToLong(Fleet.Group::asyncTimeout).max().orElse(0);
+            long end = seconds * 10_000L + fleet.longestTimeout();
             while (rig.elapsed() < end + 1_000) {
                 Thread.sleep(10);
             }
@@ -93,12 +93,12 @@
             return played.wrongResults() + played.doubleRuns() + played.changedBodies() == 0 ? 0 : 1;
         } finally {
             if (folder == null) {
-                remove(where);
+                Folders.remove(where);
             }
         }
     }
 
-    private static Fleet small() throws IOException {
+    static Fleet small() throws IOException {
         try (InputStream in = TryCommand.class.getResourceAsStream("/vetchrill/try.hcl")) {
             return FleetFile.read(Block.parse("try.hcl", new String(in.readAllBytes(), StandardCharsets.UTF_8)));
         }
@@ -137,12 +137,4 @@
                 played.wrongResults(), played.doubleRuns(), played.changedBodies(), played.late() / 10.0,
                 played.invalid() ? ": too late, this run shows nothing" : "");
     }
-
-    private static void remove(Path folder) throws IOException {
-        try (var all = Files.walk(folder)) {
-            for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(each);
-            }
-        }
-    }
 }
--- a/lab/src/test/java/vetchrill/StandIns.java
+++ b/lab/src/test/java/vetchrill/StandIns.java
@@ -5,7 +5,6 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -17,6 +16,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import vetchrill.standin.Ports;
 import vetchrill.standin.StubFrames;
 
 /** The parties that an instance speaks to, on loopback ports that the system chooses, and the instance itself. */
@@ -44,9 +44,7 @@
     private Path file;
 
     public StandIns() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, LOOPBACK)) {
-            port = free.getLocalPort();
-        }
+        port = Ports.free();
     }
 
     public static <T> T soon(BlockingQueue<T> queue, String what) {
--- a/lab/src/test/java/vetchrill/model/ChooserTest.java
+++ b/lab/src/test/java/vetchrill/model/ChooserTest.java
@@ -15,17 +15,7 @@
     private final boolean[] listed = {true, true, true};
 
     private Chooser chooser(Habit habit, Retry retry, double heed) {
-        Chooser.Roster roster = new Chooser.Roster() {
-            @Override
-            public int size() {
-                return listed.length;
-            }
-
-            @Override
-            public boolean listed(int relay) {
-                return listed[relay];
-            }
-        };
+        Chooser.Roster roster = Chooser.Roster.of(listed);
         return new Chooser(new Fleet.Pool("p", 1, habit, retry, 2, 0, 0, heed, ""), 0, roster, new int[3],
                 new SplittableRandom(1));
     }
