The interpreter stand-in says gone for what is over, and counts a second run only where one would begin

Change: as the protocol has it: nothing for what runs, gone for what is over, again for what is repeatable.

--- a/lab/src/main/java/vetchrill/standin/Rig.java
+++ b/lab/src/main/java/vetchrill/standin/Rig.java
@@ -53,6 +53,8 @@
         final Seat seat;
         final int life;
         final String id;
+        /** What the interpreter was told of it; null before it has come to its machine. */
+        Seat.Due due;
         boolean done;
 
         Sent(Asking asking, StubSide stub, Seat seat, String id) {
@@ -109,6 +111,9 @@
         void answered(Sent sent, Asking.Answer answer, long away, boolean giveUp) {
             if (!sent.done) {
                 sent.done = true;
+                if (sent.due != null) {
+                    sent.due.over = true;
+                }
                 tried(sent.asking, sent.seat.number, answer, away, giveUp, now());
             }
         }
@@ -362,7 +367,9 @@
         Task task = (Task) sent.asking;
         long stamp = System.currentTimeMillis();
         arrived.add(new Arrived(seat.number, sent.stub.number, stamp, task.bytes, (float) task.kb, task.tries == 1));
-        seat.due.put(sent.id, new Seat.Due(task.work, task.body));
+        sent.due = new Seat.Due(task.work, task.body,
+                fleet.groups.get(task.group).effect() == Fleet.Effect.MUTATING);
+        seat.due.put(sent.id, sent.due);
         reading.add(sent);
         unread = reading.size();
         seat.machine.work(seat.kind.reading(), () -> soon(() -> read(sent, stamp)));
