--- a/lab/src/main/java/vetchrill/model/World.java
+++ b/lab/src/main/java/vetchrill/model/World.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import vetchrill.control.Exchange.Outcome;
 import vetchrill.fleet.Fleet;
