--- a/fuzz/src/test/java/vetchrill/fuzz/FuzzTest.java
+++ b/fuzz/src/test/java/vetchrill/fuzz/FuzzTest.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -21,11 +20,6 @@
     /** Classes that read no bytes of others though they look like it. */
     private static final Set<String> NO_PARSERS = Set.of("vetchrill.protocol.Reports");
 
-    @BeforeClass
-    public void quiet() {
-        System.setProperty("vetchrill.log.level", "OFF");
-    }
-
     @DataProvider
     public Object[][] targets() {
         return Targets.all(FuzzTest.class.getClassLoader()).stream().map(each -> new Object[] {each.name(), each})
