The grace of a drain runs from its notice, though the interpreter comes up later

Followed from the shrunk scripts (drain before the first banner, no step of the clock in them): Admit.begin called controller.leave with the time of the banner, so a second of grace began with the interpreter and not with SIGTERM (Admit.java, begin). Ruled out: the module (its own check of the grace holds), the stamps (the scripts have no step). Also seen while reading: what is on its way as the system's clock steps was stamped by the old clock and read by the new one, up to the whole step too old (Clock.stamped), which no oracle would have caught.

Change: the notice's own time is kept and handed on; a stamp is read by whichever of the last two clocks makes it the later that is not yet to come. Of all targets: `customers` or `meters` as an object ended a start with a NullPointerException, now a line that says what is no list; a part of a capture that claims two gigabytes is refused before room is made for it.

--- a/fuzz/src/main/java/vetchrill/fuzz/chain/SimInterpreter.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/SimInterpreter.java
@@ -188,7 +188,7 @@
     }
 
     private void apply(String id, String group, byte[] body) {
-        Ledger.Ex ex = run.ledger.asked(id, group, body);
+        Ledger.Ex ex = run.ledger.asked(id, group, body, run.now());
         if (running.containsKey(id)) {
             return;
         }
--- a/instance/src/main/java/vetchrill/protocol/DeploymentReader.java
+++ b/instance/src/main/java/vetchrill/protocol/DeploymentReader.java
@@ -30,6 +30,8 @@
         if (root == null || !root.isObject()) {
             throw new IllegalArgumentException("options are no JSON object");
         }
+        list(root, "customers");
+        list(root.path("familyInfo"), "meters");
         for (JsonNode told : root.path("categories")) {
             groupNames.add(told.path("name").asText());
         }
@@ -83,6 +85,13 @@
         memoryAt = position(meters, "mem_used");
     }
 
+    /** What stands in for a list by its size alone has no places to look at. */
+    private static void list(JsonNode node, String key) {
+        if (node.path(key).isObject()) {
+            throw new IllegalArgumentException(key + " is no list");
+        }
+    }
+
     private static JsonNode parsed(String options) {
         try {
             return JSON.readTree(options);
--- a/instance/src/main/java/vetchrill/routing/Admit.java
+++ b/instance/src/main/java/vetchrill/routing/Admit.java
@@ -22,6 +22,8 @@
     private OverloadController controller;
     /** When the process stops; 0 while nothing is known of that. */
     private long stopAt;
+    /** When that was heard: the grace runs from then on, though the interpreter comes up later. */
+    private long leftAt;
     private double[] gauges = new double[0];
     /** The oldest that an exchange was when it came to the decision thread, since the last summary. */
     long oldest;
@@ -42,7 +44,7 @@
         this.route = route;
         controller = new OverloadController(facts.deployment, seed, born);
         if (stopAt > 0) {
-            controller.leave(stopAt, clock.now());
+            controller.leave(stopAt, leftAt);
         }
     }
 
@@ -145,8 +147,9 @@
 
     void leave(long stopAt) {
         this.stopAt = stopAt;
+        leftAt = clock.now();
         if (controller != null) {
-            controller.leave(stopAt, clock.now());
+            controller.leave(stopAt, leftAt);
         }
     }
 
--- a/instance/src/main/java/vetchrill/routing/Clock.java
+++ b/instance/src/main/java/vetchrill/routing/Clock.java
@@ -13,6 +13,11 @@
     private final LongSupplier nanos;
     private final long origin;
     private final long started;
+    /** By how much the system's clock is off this one, and was before that changed last. */
+    private record Steps(long now, long before, long changed) {
+    }
+
+    private volatile Steps steps = new Steps(0, 0, Long.MIN_VALUE / 2);
 
     /** The clocks of the system. */
     public Clock() {
@@ -33,12 +38,23 @@
 
     /**
      * What another process stamped, in Unix milliseconds, on this clock. Two readings a moment apart would swap
-     * exchanges that came together, so only a real step of the system's clock is taken off.
+     * exchanges that came together, so only a real step of the system's clock is taken off. What was on its way as the
+     * clock was stepped was stamped before that, and read by the new clock would be as much too old, or not be past the
+     * grace of a drain though it is: of the two it is taken for the later one that is not yet to come.
      */
     long stamped(long stamp, long oldest) {
         long now = now();
-        long step = wall.getAsLong() - now;
-        long at = stamp * 10 - (Math.abs(step) > STEP ? step : 0);
+        long off = wall.getAsLong() - now;
+        Steps seen = steps;
+        if (Math.abs(off - seen.now) > STEP) {
+            seen = new Steps(off, seen.now, now);
+            steps = seen;
+        }
+        long at = stamp * 10 - seen.now;
+        long before = stamp * 10 - seen.before;
+        if (now - seen.changed <= oldest && before <= now + STEP && (before > at || at > now + STEP)) {
+            at = before;
+        }
         return Math.max(now - oldest, Math.min(now, at));
     }
 
--- a/instance/src/test/java/vetchrill/routing/ClockTest.java
+++ b/instance/src/test/java/vetchrill/routing/ClockTest.java
@@ -7,6 +7,24 @@
 
 @Test
 public class ClockTest {
+    /** On its way as the clock was stepped, forward or back: it is as old as it was, and past the grace if it was. */
+    public void whatWasStampedBeforeAStepOfTheClockAndReadAfterItKeepsItsTime() {
+        for (long step : new long[] {25_000, -25_000}) {
+            long[] clocks = {17_645_760_000_000L, 0};
+            Clock clock = new Clock(() -> clocks[0], () -> clocks[1] * 100_000);
+            clocks[0] += 300;
+            clocks[1] += 300;
+            long before = clocks[0] / 10;
+            long at = clock.now();
+            clocks[0] += step + 200;
+            clocks[1] += 200;
+            assertEquals(clock.stamped(before, 600_000), at, "stamped before a step of " + step);
+            long now = clock.now();
+            assertEquals(clock.stamped(clocks[0] / 10, 600_000), now, "stamped after it");
+            assertEquals(clock.stamped(before, 600_000), at, "stamped before, read later");
+        }
+    }
+
     public void whatCameTogetherStaysTogetherAndNothingIsFromTheFutureOrAbsurdlyOld() {
         Clock clock = new Clock();
         long stamp = System.currentTimeMillis() - 40;
--- a/instance/src/test/java/vetchrill/wire/WireHostTest.java
+++ b/instance/src/test/java/vetchrill/wire/WireHostTest.java
@@ -57,6 +57,8 @@
             {open + BORN + "wants_call rid=5\n", "line 4: 'wants_call' names an rid never given to instance 3: 5"},
             {open + BORN + "run_over rid\n", "line 4: a field without name=value in 'run_over'"},
             {open + "at instance=3\nborn salt=1 options={\n", "line 3: options are no JSON"},
+            {open + "at instance=3\nborn salt=1 options={\"categories\":[{\"effect\":\"free\"}],"
+                    + "\"customers\":{\"\":0}}\n", "line 3: customers is no list"},
             {"sync tsMs=1.5.1 seq=1\n", "line 1: 'tsMs' of 'sync' should be a number, not '1.5.1'"},
             {open, "line 1: the input ends in the middle of a batch"},
             {open + "com", "line 2: the input ends in the middle of a line"},
--- a/lab/src/main/java/vetchrill/capture/Capture.java
+++ b/lab/src/main/java/vetchrill/capture/Capture.java
@@ -131,7 +131,7 @@
                 if (capture != null && capture.whole) {
                     throw new CaptureFault(file + ": goes on after its end at byte " + at);
                 }
-                capture = part(file, capture, table, new ByteArrayInputStream(all, at + Parts.HEAD, length), allocator);
+                capture = part(file, capture, table, all, at + Parts.HEAD, length, allocator);
                 at += Parts.HEAD + length;
             }
         }
@@ -142,9 +142,12 @@
         return capture;
     }
 
-    private static Capture part(Path file, Capture before, byte table, ByteArrayInputStream in,
+    private static Capture part(Path file, Capture before, byte table, byte[] all, int from, int length,
             RootAllocator allocator) {
-        try (ArrowStreamReader reader = new ArrowStreamReader(in, allocator)) {
+        try (ArrowStreamReader reader = new ArrowStreamReader(new ByteArrayInputStream(all, from, length), allocator)) {
+            if (!Parts.claimsWhatItHas(all, from, length)) {
+                throw new CaptureFault(file + ": a part claims more than it holds");
+            }
             VectorSchemaRoot root = reader.getVectorSchemaRoot();
             Map<String, String> provenance = root.getSchema().getCustomMetadata();
             Capture capture = before == null ? new Capture(file, provenance) : before;
@@ -158,6 +161,10 @@
             }
             capture.lost = Long.parseLong(provenance.getOrDefault("lost", "0"));
             while (table != Parts.END && reader.loadNextBatch()) {
+                if (root.getRowCount() > length) {
+                    throw new CaptureFault(file + ": a part claims " + root.getRowCount() + " rows in " + length
+                            + " bytes");
+                }
                 if (table == Parts.LOOKS) {
                     capture.takeLooks(root);
                 } else {
--- a/lab/src/main/java/vetchrill/capture/Parts.java
+++ b/lab/src/main/java/vetchrill/capture/Parts.java
@@ -2,10 +2,13 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.channels.Channels;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.apache.arrow.flatbuf.Message;
 import org.apache.arrow.vector.BigIntVector;
 import org.apache.arrow.vector.FieldVector;
 import org.apache.arrow.vector.Float4Vector;
@@ -33,6 +36,7 @@
     /** Nothing follows: the recorder was closed. It has no rows, only its provenance with the last counts. */
     static final byte END = 3;
     static final int LONGEST = 64 << 20;
+    private static final int CONTINUED = -1;
 
     static final List<String> EXCHANGE_COLUMNS = List.of("arrived", "heard", "group", "customer", "stub", "subject",
             "kb",
@@ -103,6 +107,36 @@
         return part;
     }
 
+    /**
+     * Whether each message of the Arrow stream in a part claims no more bytes than there are: the library makes room
+     * for whatever is claimed before it reads any of it.
+     */
+    static boolean claimsWhatItHas(byte[] all, int from, int length) {
+        ByteBuffer in = ByteBuffer.wrap(all, from, length).order(ByteOrder.LITTLE_ENDIAN);
+        while (in.remaining() >= 4) {
+            int size = in.getInt();
+            if (size == CONTINUED) {
+                if (in.remaining() < 4) {
+                    return false;
+                }
+                size = in.getInt();
+            }
+            if (size == 0) {
+                return true;
+            }
+            if (size < 0 || size > in.remaining()) {
+                return false;
+            }
+            long body = Message.getRootAsMessage(in.slice().limit(size).order(ByteOrder.LITTLE_ENDIAN)).bodyLength();
+            in.position(in.position() + size);
+            if (body < 0 || body > in.remaining()) {
+                return false;
+            }
+            in.position(in.position() + (int) body);
+        }
+        return true;
+    }
+
     static void put(byte[] to, int at, int value) {
         to[at] = (byte) (value >> 24);
         to[at + 1] = (byte) (value >> 16);
--- a/lab/src/test/java/vetchrill/capture/CaptureTest.java
+++ b/lab/src/test/java/vetchrill/capture/CaptureTest.java
@@ -116,6 +116,26 @@
         }
     }
 
+    /** Found by fuzzing: a part whose sum was right and which claimed two gigabytes took them before it was refused. */
+    public void aPartThatClaimsMoreThanItHoldsIsRefusedBeforeRoomIsMadeForIt() throws Exception {
+        byte[] damaged = written(60);
+        int length = Parts.number(damaged, 8);
+        // The size of the first message, behind the word that says that one follows.
+        for (int i = 0; i < 4; i++) {
+            damaged[Parts.HEAD + 4 + i] = (byte) (i == 3 ? 0x7f : 0xff);
+        }
+        java.util.zip.CRC32C sum = new java.util.zip.CRC32C();
+        sum.update(damaged, Parts.HEAD, length);
+        Parts.put(damaged, 12, (int) sum.getValue());
+        try {
+            Capture.read(Path.of("x"), damaged);
+        } catch (CaptureFault e) {
+            assertEquals(e.getMessage(), "x: a part claims more than it holds");
+            return;
+        }
+        throw new AssertionError("taken as it is");
+    }
+
     public void whatFindsNoRoomIsCountedAndTheCountIsInTheFile() throws Exception {
         CaptureWriter writer = writer(folder(), "r1", " ring_rows = 64\n");
         int n = 0;
--- a/lab/src/test/java/vetchrill/program/ServeTest.java
+++ b/lab/src/test/java/vetchrill/program/ServeTest.java
@@ -61,6 +61,25 @@
         }
     }
 
+    /** Found by fuzzing: with the interpreter up only after the notice to leave, the grace began with it. */
+    public void theGraceRunsFromTheNoticeThoughTheInterpreterComesUpLater() throws Exception {
+        try (StandIns world = new StandIns()) {
+            world.interpreter.withholdsBanner = true;
+            world.start();
+            soon(world.interpreter.commands, "a link");
+            try (Stub stub = world.stub()) {
+                world.terminate();
+                world.untilLogged("drain: ");
+                Thread.sleep(700);
+                world.interpreter.banner(0);
+                world.untilLogged("the interpreter is up");
+                stub.ask(1, "look", A, "");
+                assertEquals(stub.read().code(), 66);
+                assertTrue(world.interpreter.commands.stream().noneMatch(each -> each.startsWith("APPLY")));
+            }
+        }
+    }
+
     public void aConfigurationReadAgainMovesTheServicesAndAllThatIsOpenGoesOn() throws Exception {
         try (StandIns world = new StandIns().up(); Stub stub = world.stub()) {
             soon(world.interpreter.commands, "a link");
