--- a/instance/src/main/java/vetchrill/routing/Clock.java
+++ b/instance/src/main/java/vetchrill/routing/Clock.java
@@ -10,6 +10,7 @@
     private static final long STEP = 200;
 
     private final LongSupplier wall;
+    /** Null for the system's: it is read several times an exchange, and a call through an interface is never inlined. */
     private final LongSupplier nanos;
     private final long origin;
     private final long started;
@@ -21,7 +22,7 @@
 
     /** The clocks of the system. */
     public Clock() {
-        this(Clock::systemWall, System::nanoTime);
+        this(Clock::systemWall, null);
     }
 
     /** {@code wall} tells tenths of a millisecond of Unix time and may step; {@code nanos} never does. */
@@ -29,11 +30,15 @@
         this.wall = wall;
         this.nanos = nanos;
         origin = wall.getAsLong();
-        started = nanos.getAsLong();
+        started = nanos();
     }
 
     public long now() {
-        return origin + (nanos.getAsLong() - started) / 100_000;
+        return origin + (nanos() - started) / 100_000;
+    }
+
+    private long nanos() {
+        return nanos == null ? System.nanoTime() : nanos.getAsLong();
     }
 
     /**
@@ -44,12 +49,7 @@
      */
     long stamped(long stamp, long oldest) {
         long now = now();
-        long off = wall.getAsLong() - now;
-        Steps seen = steps;
-        if (Math.abs(off - seen.now) > STEP) {
-            seen = new Steps(off, seen.now, now);
-            steps = seen;
-        }
+        Steps seen = watch(now);
         long at = stamp * 10 - seen.now;
         long before = stamp * 10 - seen.before;
         if (now - seen.changed <= oldest && before <= now + STEP && (before > at || at > now + STEP)) {
@@ -58,6 +58,21 @@
         return Math.max(now - oldest, Math.min(now, at));
     }
 
+    /** Looks whether the system's clock has stepped: often enough that none of its steps is passed over. */
+    void watch() {
+        watch(now());
+    }
+
+    private Steps watch(long now) {
+        long off = wall.getAsLong() - now;
+        Steps seen = steps;
+        if (Math.abs(off - seen.now) > STEP) {
+            seen = new Steps(off, seen.now, now);
+            steps = seen;
+        }
+        return seen;
+    }
+
     private static long systemWall() {
         java.time.Instant at = java.time.Instant.now();
         return at.getEpochSecond() * 10_000 + at.getNano() / 100_000;
--- a/instance/src/main/java/vetchrill/routing/Send.java
+++ b/instance/src/main/java/vetchrill/routing/Send.java
@@ -93,6 +93,7 @@
     }
 
     void look() {
+        clock.watch();
         book.closeIdle(clock.now());
         long number = ++looks;
         lookOpen = number;
