--- a/instance/src/main/java/vetchrill/routing/Clock.java
+++ b/instance/src/main/java/vetchrill/routing/Clock.java
@@ -10,7 +10,7 @@
     private static final long STEP = 200;
 
     private final LongSupplier wall;
-    /** Null for the system's: it is read several times an exchange, and a call through an interface is never inlined. */
+    /** Null for the system's: read several times an exchange, and a call through an interface is never inlined. */
     private final LongSupplier nanos;
     private final long origin;
     private final long started;
