Instances hear each other: membership as decisions without I/O, simulated, and run in real processes

During a fault no instance knows which others live, and all that the operators ask for next (versions, floors, power loss, zones) stands on that.

The same text runs in `MembersWorld` on a counted clock with loss, doubling, one-way cuts, partitions, pauses, deaths and seconds under one name; the fuzzing's target `members` draws scripts for it and its oracle shares no code with it.

Found by it while it was written, each mended: the first of two processes under one name never heard of the second, as answers went to the name and not to the process that had asked; one that came back before anybody had told it of its earlier life was taken for that.

--- /dev/null
+++ b/lab/src/main/java/vetchrill/peersim/MembersWorld.java
@@ -0,0 +1,377 @@
+package vetchrill.peersim;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import vetchrill.members.Members;
+import vetchrill.members.News;
+import vetchrill.members.News.State;
+import vetchrill.members.Pace;
+import vetchrill.members.Word;
+import vetchrill.model.Event;
+import vetchrill.model.HeapQueue;
+import vetchrill.peers.Words;
+
+/**
+ * A fleet of instances that hear each other, on a clock that is only counted: the text of {@link Members} itself, or
+ * the plain heartbeats that it is held against, over a network that loses, delays, doubles and is cut one way, with
+ * processes that stop, stand still and come back. All is drawn from one seed.
+ */
+public final class MembersWorld {
+    /** Something that must not be. */
+    public static final class Broken extends RuntimeException {
+        private static final long serialVersionUID = 1;
+
+        Broken(String what) {
+            super(what);
+        }
+    }
+
+    /** What an instance holds its peers by. */
+    interface Watch {
+        void time(long now);
+
+        void heard(Word word);
+
+        boolean next(Members.Host host);
+
+        long wakeAt();
+    }
+
+    /** One process: a name may have had several, and two at once. */
+    public final class Process {
+        public final String name;
+        final int place;
+        final long nonce;
+        final Watch watch;
+        public final Members members;
+        boolean up = true;
+        boolean left;
+        boolean replaced;
+        private long replacedBy;
+        long pausedUntil;
+        private long wakeNumber;
+        private final ArrayDeque<Word> waiting = new ArrayDeque<>();
+        private final Map<String, News> seen = new HashMap<>();
+
+        Process(int place, long life) {
+            this.place = place;
+            name = name(place);
+            nonce = ++nonces;
+            if (plain) {
+                members = null;
+                watch = new Heartbeats(pace, name, names, nonce, now());
+            } else {
+                members = new Members(pace, name, "", life, nonce, names, chance.nextLong(), now());
+                watch = new Watch() {
+                    @Override
+                    public void time(long now) {
+                        members.time(now);
+                    }
+
+                    @Override
+                    public void heard(Word word) {
+                        members.heard(word);
+                    }
+
+                    @Override
+                    public boolean next(Members.Host host) {
+                        return members.next(host);
+                    }
+
+                    @Override
+                    public long wakeAt() {
+                        return members.wakeAt();
+                    }
+                };
+            }
+        }
+
+        boolean live() {
+            return up && !replaced;
+        }
+    }
+
+    private final Pace pace;
+    private final boolean plain;
+    private final SplittableRandom chance;
+    private final HeapQueue events = new HeapQueue();
+    private final List<String> names = new ArrayList<>();
+    /** The processes of each place, the last one last. */
+    public final List<List<Process>> places = new ArrayList<>();
+    private final Set<Long> cuts = new HashSet<>();
+    private long nonces;
+    public double loss;
+    public double doubled;
+    public long longestDelay = 20;
+    public long bytes;
+    public long words;
+    /** Held dead by somebody though it was up and had not stood still of late. */
+    public int falseDeaths;
+    public int falseSuspicions;
+    /** For each process that went, when each of those that live came to hold it dead, after so long. */
+    public final List<Long> detected = new ArrayList<>();
+    private final Map<Process, Long> downSince = new HashMap<>();
+    private long lastFault;
+
+    public MembersWorld(int size, Pace pace, boolean plain, long seed) {
+        this.pace = pace;
+        this.plain = plain;
+        chance = new SplittableRandom(seed);
+        for (int i = 0; i < size; i++) {
+            names.add(name(i));
+        }
+        for (int i = 0; i < size; i++) {
+            places.add(new ArrayList<>());
+            start(i, 1);
+        }
+    }
+
+    private static String name(int place) {
+        return String.format("r%04d", place);
+    }
+
+    public long now() {
+        return events.now();
+    }
+
+    private void at(long time, Runnable act) {
+        events.add(time, new Event() {
+            @Override
+            public void happen(long now) {
+                act.run();
+            }
+        });
+    }
+
+    public void until(long time) {
+        boolean[] reached = {false};
+        at(time, () -> reached[0] = true);
+        while (!reached[0]) {
+            Event event = events.poll();
+            event.happen(events.now());
+        }
+    }
+
+    // What goes wrong.
+
+    /** A process under that name, beside or after those that it has; it knows of no earlier life unless told. */
+    public Process start(int place, long life) {
+        Process process = new Process(place, life);
+        places.get(place).add(process);
+        faulty();
+        at(now(), () -> pump(process));
+        return process;
+    }
+
+    /** The one that has the name: the latest that has not given way, or the latest where none is left. */
+    public Process last(int place) {
+        List<Process> its = places.get(place);
+        for (int i = its.size() - 1; i >= 0; i--) {
+            if (its.get(i).live()) {
+                return its.get(i);
+            }
+        }
+        return its.get(its.size() - 1);
+    }
+
+    public boolean isUp(int place) {
+        return last(place).up;
+    }
+
+    public void kill(int place) {
+        for (Process each : places.get(place)) {
+            if (each.up) {
+                each.up = false;
+                downSince.put(each, now());
+            }
+        }
+        faulty();
+    }
+
+    public void leave(int place) {
+        Process process = last(place);
+        if (process.live() && process.members != null) {
+            process.left = true;
+            process.members.leave();
+            pump(process);
+            at(now() + 4 * pace.period(), () -> process.up = false);
+        }
+        faulty();
+    }
+
+    public void pause(int place, long span) {
+        Process process = last(place);
+        process.pausedUntil = Math.max(process.pausedUntil, now() + span);
+        at(process.pausedUntil, () -> pump(process));
+        faulty();
+    }
+
+    public void cut(int from, int to, boolean is) {
+        if (is) {
+            cuts.add((long) from << 32 | to);
+        } else {
+            cuts.remove((long) from << 32 | to);
+        }
+        faulty();
+    }
+
+    public void heal() {
+        cuts.clear();
+        loss = 0;
+        doubled = 0;
+        faulty();
+    }
+
+    private void faulty() {
+        lastFault = now();
+    }
+
+    // The network and the owners.
+
+    private void send(Process from, String to, long nonce, Word word) {
+        int size = Words.write(word).length;
+        bytes += size;
+        words++;
+        int place = names.indexOf(to);
+        if (place < 0) {
+            throw new Broken("a word goes to a name that nobody has");
+        }
+        int copies = doubled > 0 && chance.nextDouble() < doubled ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (loss > 0 && chance.nextDouble() < loss || cuts.contains((long) from.place << 32 | place)) {
+                continue;
+            }
+            // Of two under one name the later one stands at the address in the file; an answer finds either.
+            Process target = last(place);
+            for (Process each : places.get(place)) {
+                target = nonce != 0 && each.nonce == nonce ? each : target;
+            }
+            Process there = target;
+            at(now() + 1 + chance.nextLong(longestDelay), () -> arrive(there, word));
+        }
+    }
+
+    private void arrive(Process to, Word word) {
+        if (!to.up) {
+            return;
+        }
+        to.waiting.add(word);
+        pump(to);
+    }
+
+    private void pump(Process process) {
+        if (!process.up || now() < process.pausedUntil) {
+            return;
+        }
+        process.watch.time(now());
+        while (!process.waiting.isEmpty()) {
+            process.watch.heard(process.waiting.poll());
+        }
+        Members.Host host = new Members.Host() {
+            @Override
+            public void send(String to, long nonce, Word word) {
+                MembersWorld.this.send(process, to, nonce, word);
+            }
+
+            @Override
+            public void changed(News now, State was) {
+                MembersWorld.this.changed(process, now, was);
+            }
+
+            @Override
+            public void replaced(News by) {
+                process.replaced = true;
+                process.replacedBy = by.nonce();
+            }
+        };
+        int steps = 0;
+        while (process.watch.next(host)) {
+            if (++steps > 100_000) {
+                throw new Broken("an instance never comes to an end of what it does");
+            }
+        }
+        long number = ++process.wakeNumber;
+        if (!process.replaced) {
+            at(Math.max(now() + 1, process.watch.wakeAt()), () -> {
+                if (number == process.wakeNumber) {
+                    pump(process);
+                }
+            });
+        }
+    }
+
+    private void changed(Process process, News news, State was) {
+        News before = process.seen.put(news.name(), news);
+        if (before != null && (news.life() < before.life()
+                || news.life() == before.life() && news.nonce() < before.nonce()
+                || news.sameLife(before) && news.turn() < before.turn())) {
+            throw new Broken("what is held of a name goes back");
+        }
+        Process of = null;
+        for (Process each : places.get(names.indexOf(news.name()))) {
+            of = each.nonce == news.nonce() ? each : of;
+        }
+        if (of == null) {
+            throw new Broken("a life is held that nobody lived");
+        }
+        boolean well = of.live() && !of.left && now() > of.pausedUntil + 4 * pace.period();
+        if (news.state() == State.DEAD && of.up && well) {
+            falseDeaths++;
+        } else if (news.state() == State.SUSPECTED && of.up && well) {
+            falseSuspicions++;
+        } else if (news.state() == State.DEAD && !of.up && downSince.containsKey(of)) {
+            detected.add(now() - downSince.get(of));
+        }
+    }
+
+    // What must hold.
+
+    /** Long enough after the last fault, all that live hold the same and what is so. */
+    public void settled() {
+        for (List<Process> its : places) {
+            int up = 0;
+            int live = 0;
+            for (Process each : its) {
+                up += each.up ? 1 : 0;
+                live += each.live() ? 1 : 0;
+            }
+            if (live > 1) {
+                throw new Broken("two processes act under one name");
+            }
+            if (up > 0 && live == 0 && its.stream().noneMatch(each -> each.up && its.stream()
+                    .anyMatch(other -> other.nonce == each.replacedBy && !other.up))) {
+                throw new Broken("all processes of a name have given way to one another");
+            }
+        }
+        for (int i = 0; i < places.size(); i++) {
+            Process viewer = last(i);
+            if (!viewer.live() || viewer.left) {
+                continue;
+            }
+            for (News news : viewer.members.others()) {
+                Process of = last(names.indexOf(news.name()));
+                if (of.live() && !of.left) {
+                    if (news.state() != State.ALIVE) {
+                        throw new Broken("one that lives is not held alive");
+                    }
+                    if (news.nonce() != of.nonce || news.life() != of.members.self().life()) {
+                        throw new Broken("another life is held of one that lives");
+                    }
+                } else if (news.state() == State.ALIVE || news.state() == State.SUSPECTED) {
+                    throw new Broken("one that is gone is held alive");
+                }
+            }
+        }
+    }
+
+    /** When the last fault is over for everybody: syncs with those that are held dead, and a verdict on each. */
+    public long settles() {
+        return lastFault + 40 * pace.sync();
+    }
+}
--- a/lab/src/test/java/vetchrill/StandIns.java
+++ b/lab/src/test/java/vetchrill/StandIns.java
@@ -131,6 +131,15 @@
         process.toHandle().destroy();
     }
 
+    public void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** STOP and CONT, say. */
+    public void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     public int exit() throws InterruptedException {
         if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
             throw new AssertionError("never ended");
