--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The usual steps; CI calls the command of `test` by itself.
-.PHONY: build instance test lint run measure-planner measure-fuzz measure-cost clean
+.PHONY: build instance test lint run measure-planner measure-fuzz measure-cost measure-members clean
 
 build:
 	mvn -B -ntp -Dmaven.test.skip=true package
@@ -38,8 +38,12 @@
 	rm -rf $(THEN) && mkdir -p $(THEN)
 	git archive $(COMMIT) | tar -x -C $(THEN)
 	cd $(THEN) && mvn -q -B -ntp -Dmaven.test.skip=true $$(test -d instance && echo -pl instance -am) package
-	bin/vetchrill cost $$(ls -d $(THEN)/instance/target/vetchrill.jar $(THEN)/target/vetchrill.jar 2> /dev/null) \
+	taskset -c 1-$$(($$(nproc) - 1)) bin/vetchrill cost $$(ls -d $(THEN)/instance/target/vetchrill.jar $(THEN)/target/vetchrill.jar 2> /dev/null) \
 	    instance/target/vetchrill.jar --commit $(COMMIT)
 
+# Some minutes, most of them for the fleet of a thousand.
+measure-members: build
+	bin/vetchrill members --sizes 10,100,1000 --seeds 3 --first-seed $(FIRST_SEED)
+
 clean:
 	mvn -B -ntp clean
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -12,3 +12,15 @@
   flush_ms    = 500                # what is recorded is in the file so long after at most
   most_mb     = 256                # the file grows no further
 }
+
+peers {
+  on     = false
+  listen = "10.0.0.4:7565"         # the only address on which other instances are heard
+  zone   = "reykjavik"
+  # The same on all instances. An answer is waited for so long; all that is held is exchanged that often.
+  period_ms = 500
+  answer_ms = 150
+  sync_ms   = 10000
+  peer "r2" { address = "10.0.0.5:7565" }
+  peer "r3" { address = "10.0.1.4:7565" }
+}
