--- a/instance/src/main/java/vetchrill/transport/Connection.java
+++ b/instance/src/main/java/vetchrill/transport/Connection.java
@@ -23,6 +23,7 @@
 
     private static final System.Logger LOG = System.getLogger("vetchrill.connection");
     private static final byte[] END = new byte[0];
+    private static final int FIRST_TOGETHER = 2 << 10;
     private static final int TOGETHER = 16 << 10;
 
     private final Pipe pipe;
@@ -104,7 +105,8 @@
 
     /** One step writes all that waits. */
     private final class Writing implements Job {
-        private byte[] together = new byte[2 << 10];
+        /** Made where there is something to join: most answers go out alone. */
+        private byte[] together = END;
 
         @Override
         public Pipe pipe() {
@@ -119,23 +121,23 @@
                 int left = 0;
                 // What waits already goes out in one write, for each write costs a switch on a shared core.
                 while (message != null && message != END) {
-                    if (filled + message.length > together.length) {
-                        if (filled + message.length > TOGETHER) {
-                            pipe.write(together, 0, filled);
-                            pipe.write(message, 0, message.length);
-                            left += message.length;
-                            filled = 0;
-                            message = toSend.poll();
-                            continue;
+                    byte[] after = toSend.poll();
+                    boolean alone = filled == 0 && (after == null || after == END);
+                    if (alone || filled + message.length > TOGETHER) {
+                        write(together, filled);
+                        write(message, message.length);
+                        filled = 0;
+                    } else {
+                        if (filled + message.length > together.length) {
+                            together = Arrays.copyOf(together, Math.max(FIRST_TOGETHER, filled + message.length));
                         }
-                        together = Arrays.copyOf(together, filled + message.length);
+                        System.arraycopy(message, 0, together, filled, message.length);
+                        filled += message.length;
                     }
-                    System.arraycopy(message, 0, together, filled, message.length);
-                    filled += message.length;
                     left += message.length;
-                    message = toSend.poll();
+                    message = after;
                 }
-                pipe.write(together, 0, filled);
+                write(together, filled);
                 sent(left);
                 if (message == END) {
                     abort();
@@ -154,6 +156,12 @@
         }
     }
 
+    private void write(byte[] bytes, int size) throws IOException {
+        if (size > 0) {
+            pipe.write(bytes, 0, size);
+        }
+    }
+
     /** One step reads once, and takes what that made whole. */
     private final class Reading implements Job {
         private final Input input;
