--- /dev/null
+++ b/fuzz/src/main/java/vetchrill/fuzz/Scripts.java
@@ -0,0 +1,56 @@
+package vetchrill.fuzz;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Inputs that are a head and then steps of so many octets each, as the scripts of what is simulated are. */
+public record Scripts(int head, int step, int most) {
+    /** A few to begin with, of so many steps. */
+    public List<byte[]> seeds(int from, int steps) {
+        List<byte[]> seeds = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            SplittableRandom chance = new SplittableRandom(from + i);
+            byte[] seed = new byte[head + step * steps];
+            for (int j = 0; j < seed.length; j++) {
+                seed[j] = (byte) chance.nextInt();
+            }
+            seeds.add(seed);
+        }
+        return seeds;
+    }
+
+    /** A step is put in, taken out, moved, or made another; or all of it is played in another order of things. */
+    public byte[] mutate(byte[] input, SplittableRandom chance) {
+        int steps = (input.length - head) / step;
+        if (steps < 1) {
+            return null;
+        }
+        byte[] out = input.clone();
+        int at = head + step * chance.nextInt(steps);
+        switch (chance.nextInt(5)) {
+            case 0 -> out[chance.nextInt(head)] = (byte) chance.nextInt();
+            case 1 -> {
+                for (int i = 0; i < step; i++) {
+                    out[at + i] = (byte) chance.nextInt();
+                }
+            }
+            case 2 -> {
+                out = new byte[input.length + step];
+                System.arraycopy(input, 0, out, 0, at);
+                for (int i = 0; i < step; i++) {
+                    out[at + i] = (byte) chance.nextInt();
+                }
+                System.arraycopy(input, at, out, at + step, input.length - at);
+            }
+            case 3 -> {
+                out = new byte[input.length - step];
+                System.arraycopy(input, 0, out, 0, at);
+                System.arraycopy(input, at + step, out, at, input.length - at - step);
+            }
+            default -> System.arraycopy(input, head + step * chance.nextInt(steps), out, at, step);
+        }
+        return out.length > head + step * most ? Arrays.copyOf(out, head + step * most) : out;
+    }
+}
--- a/fuzz/src/main/java/vetchrill/fuzz/targets/MembersTarget.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/MembersTarget.java
@@ -1,11 +1,11 @@
 package vetchrill.fuzz.targets;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
 import vetchrill.fuzz.Draws;
 import vetchrill.fuzz.Finding;
+import vetchrill.fuzz.Scripts;
 import vetchrill.fuzz.Target;
 import vetchrill.members.Members;
 import vetchrill.members.Pace;
@@ -17,6 +17,7 @@
     private static final int HEAD = 9;
     private static final int STEP = 4;
     private static final int MOST_STEPS = 40;
+    private static final Scripts SCRIPTS = new Scripts(HEAD, STEP, MOST_STEPS);
 
     @Override
     public String name() {
@@ -93,35 +94,11 @@
 
     @Override
     public List<byte[]> seeds() {
-        List<byte[]> seeds = new ArrayList<>();
-        for (int i = 0; i < 4; i++) {
-            SplittableRandom chance = new SplittableRandom(200 + i);
-            byte[] seed = new byte[HEAD + STEP * 10];
-            for (int j = 0; j < seed.length; j++) {
-                seed[j] = (byte) chance.nextInt();
-            }
-            seeds.add(seed);
-        }
-        return seeds;
+        return SCRIPTS.seeds(200, 10);
     }
 
     @Override
     public byte[] mutate(byte[] input, SplittableRandom chance) {
-        int steps = (input.length - HEAD) / STEP;
-        if (steps < 1) {
-            return null;
-        }
-        byte[] out = input.clone();
-        int at = HEAD + STEP * chance.nextInt(steps);
-        for (int i = 0; i < STEP; i++) {
-            out[at + i] = (byte) chance.nextInt();
-        }
-        if (chance.nextInt(3) == 0 && steps < MOST_STEPS) {
-            out = Arrays.copyOf(out, out.length + STEP);
-            for (int i = 1; i <= STEP; i++) {
-                out[out.length - i] = (byte) chance.nextInt();
-            }
-        }
-        return out;
+        return SCRIPTS.mutate(input, chance);
     }
 }
