An address of a peer is read in one place; a count that nobody read is gone

Need: read again, `fleet status` had a second, laxer reading of what `peers` of the operator's file reads (a port of 70000 was taken for 65535), and the simulated fleet counted words for nobody.

Change: PeersOrder.address serves both; a port past 65535 is refused with exit code 2 here as well. Nothing of the instance or of `peers` changes.

--- a/lab/src/main/java/vetchrill/peering/PeersOrder.java
+++ b/lab/src/main/java/vetchrill/peering/PeersOrder.java
@@ -8,6 +8,8 @@
 
 /** What an operator's file says of the other instances, in its block {@code peers}. */
 public final class PeersOrder {
+    public static final String ADDRESS = "should be an address and a port, as 10.0.0.4:7565";
+
     public final String zone;
     /** The only address on which peers are listened to. */
     public final InetSocketAddress listen;
@@ -39,16 +41,20 @@
 
     private static InetSocketAddress address(Block block, String key) {
         String text = block.word(key);
+        InetSocketAddress address = address(text);
+        if (address == null && !text.isEmpty()) {
+            block.mistake(key, ADDRESS);
+        }
+        return address == null ? new InetSocketAddress(0) : address;
+    }
+
+    /** Null for what is none. */
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         String port = text.substring(colon + 1);
-        if (colon > 0 && port.matches("[0-9]{1,5}") && Integer.parseInt(port) <= 65_535
-                && text.substring(0, colon).matches("[0-9]+(\\.[0-9]+){3}")) {
-            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(port));
-        }
-        if (!text.isEmpty()) {
-            block.mistake(key, "should be an address and a port, as 10.0.0.4:7565");
-        }
-        return new InetSocketAddress(0);
+        return colon > 0 && port.matches("[0-9]{1,5}") && Integer.parseInt(port) <= 65_535
+                && text.substring(0, colon).matches("[0-9]+(\\.[0-9]+){3}")
+                ? new InetSocketAddress(text.substring(0, colon), Integer.parseInt(port)) : null;
     }
 
     /** Null where the file has no such block. Mistakes are noted in the file and told by its check. */
--- a/lab/src/main/java/vetchrill/peersim/MembersWorld.java
+++ b/lab/src/main/java/vetchrill/peersim/MembersWorld.java
@@ -110,7 +110,6 @@
     public double doubled;
     public long longestDelay = 20;
     public long bytes;
-    public long words;
     /** Held dead by somebody though it was up and had not stood still of late. */
     public int falseDeaths;
     public int falseSuspicions;
@@ -235,9 +234,7 @@
     // The network and the owners.
 
     private void send(Process from, String to, long nonce, Word word) {
-        int size = Words.write(word).length;
-        bytes += size;
-        words++;
+        bytes += Words.write(word).length;
         int place = names.indexOf(to);
         if (place < 0) {
             throw new Broken("a word goes to a name that nobody has");
--- a/lab/src/main/java/vetchrill/tool/FleetCommand.java
+++ b/lab/src/main/java/vetchrill/tool/FleetCommand.java
@@ -8,6 +8,7 @@
 import picocli.CommandLine.Parameters;
 import vetchrill.members.News;
 import vetchrill.members.Word;
+import vetchrill.peering.PeersOrder;
 import vetchrill.peers.PeerStatus;
 
 @Command(name = "fleet", mixinStandardHelpOptions = true, description = "Speak to instances that hear each other.",
@@ -24,12 +25,11 @@
 
         @Override
         public Integer call() throws IOException {
-            if (!address.matches("[0-9.]+:[0-9]{1,5}")) {
-                throw new BadUse("ADDRESS is " + address + ", should be an address and a port, as 10.0.0.4:7565");
+            InetSocketAddress at = PeersOrder.address(address);
+            if (at == null) {
+                throw new BadUse("ADDRESS is " + address + ", " + PeersOrder.ADDRESS);
             }
-            int colon = address.indexOf(':');
-            Word word = PeerStatus.of(new InetSocketAddress(address.substring(0, colon),
-                    Math.min(65_535, Integer.parseInt(address.substring(colon + 1)))));
+            Word word = PeerStatus.of(at);
             System.out.printf("%-20s %-10s %5s %5s  %s%n", "name", "state", "life", "turn", "by");
             line(word.from());
             word.news().stream().sorted(Comparator.comparing(News::name)).forEach(StatusCommand::line);
