Versions, floors and leases as decisions without I/O, simulated with faults

Need: during a release nobody can say which instance decides by what, and one that missed a change goes on by the old one.

A version spreads, is fetched in pieces, tried, kept and taken; two contents under one number are found and taken no further. A floor is confirmed once more than half of the keepers hold it on disk; an instance goes on for one lease after the questions that more than half of them answered. A keeper without its disk takes a later life that others note first, so that a promise of an earlier life counts no more. A version under which instances fare worse than others is stopped, instances and not exchanges being the observations.

--- a/fuzz/src/main/java/vetchrill/fuzz/targets/MembersTarget.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/MembersTarget.java
@@ -76,13 +76,7 @@
             case 4, 5 -> world.pause(at, 1_000L * c);
             case 6 -> world.cut(at, other, true);
             case 7 -> world.cut(at, other, false);
-            case 8 -> {
-                for (int i = 0; i < size; i++) {
-                    for (int j = 0; j < size; j++) {
-                        world.cut(i, j, (b >> i % 8 & 1) != (b >> j % 8 & 1));
-                    }
-                }
-            }
+            case 8 -> world.part(size, b ^ c);
             case 9 -> world.loss = b % 6 / 10.0;
             case 10 -> world.doubled = b % 4 / 4.0;
             case 11 -> world.longestDelay = 2 + 8L * b;
--- a/lab/src/main/java/vetchrill/peersim/MembersWorld.java
+++ b/lab/src/main/java/vetchrill/peersim/MembersWorld.java
@@ -3,18 +3,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.SplittableRandom;
 import vetchrill.members.Members;
 import vetchrill.members.News;
 import vetchrill.members.News.State;
 import vetchrill.members.Pace;
 import vetchrill.members.Word;
-import vetchrill.model.Event;
-import vetchrill.model.HeapQueue;
 import vetchrill.peers.Words;
 
 /**
@@ -22,7 +17,7 @@
  * the plain heartbeats that it is held against, over a network that loses, delays, doubles and is cut one way, with
  * processes that stop, stand still and come back. All is drawn from one seed.
  */
-public final class MembersWorld {
+public final class MembersWorld extends Wires {
     /** Something that must not be. */
     public static final class Broken extends RuntimeException {
         private static final long serialVersionUID = 1;
@@ -99,16 +94,10 @@
 
     private final Pace pace;
     private final boolean plain;
-    private final SplittableRandom chance;
-    private final HeapQueue events = new HeapQueue();
     private final List<String> names = new ArrayList<>();
     /** The processes of each place, the last one last. */
     public final List<List<Process>> places = new ArrayList<>();
-    private final Set<Long> cuts = new HashSet<>();
     private long nonces;
-    public double loss;
-    public double doubled;
-    public long longestDelay = 20;
     public long bytes;
     /** Held dead by somebody though it was up and had not stood still of late. */
     public int falseDeaths;
@@ -116,12 +105,11 @@
     /** For each process that went, when each of those that live came to hold it dead, after so long. */
     public final List<Long> detected = new ArrayList<>();
     private final Map<Process, Long> downSince = new HashMap<>();
-    private long lastFault;
 
     public MembersWorld(int size, Pace pace, boolean plain, long seed) {
+        super(seed);
         this.pace = pace;
         this.plain = plain;
-        chance = new SplittableRandom(seed);
         for (int i = 0; i < size; i++) {
             names.add(name(i));
         }
@@ -135,28 +123,6 @@
         return String.format("r%04d", place);
     }
 
-    public long now() {
-        return events.now();
-    }
-
-    private void at(long time, Runnable act) {
-        events.add(time, new Event() {
-            @Override
-            public void happen(long now) {
-                act.run();
-            }
-        });
-    }
-
-    public void until(long time) {
-        boolean[] reached = {false};
-        at(time, () -> reached[0] = true);
-        while (!reached[0]) {
-            Event event = events.poll();
-            event.happen(events.now());
-        }
-    }
-
     // What goes wrong.
 
     /** A process under that name, beside or after those that it has; it knows of no earlier life unless told. */
@@ -211,26 +177,6 @@
         faulty();
     }
 
-    public void cut(int from, int to, boolean is) {
-        if (is) {
-            cuts.add((long) from << 32 | to);
-        } else {
-            cuts.remove((long) from << 32 | to);
-        }
-        faulty();
-    }
-
-    public void heal() {
-        cuts.clear();
-        loss = 0;
-        doubled = 0;
-        faulty();
-    }
-
-    private void faulty() {
-        lastFault = now();
-    }
-
     // The network and the owners.
 
     private void send(Process from, String to, long nonce, Word word) {
@@ -239,19 +185,13 @@
         if (place < 0) {
             throw new Broken("a word goes to a name that nobody has");
         }
-        int copies = doubled > 0 && chance.nextDouble() < doubled ? 2 : 1;
-        for (int i = 0; i < copies; i++) {
-            if (loss > 0 && chance.nextDouble() < loss || cuts.contains((long) from.place << 32 | place)) {
-                continue;
-            }
-            // Of two under one name the later one stands at the address in the file; an answer finds either.
-            Process target = last(place);
-            for (Process each : places.get(place)) {
-                target = nonce != 0 && each.nonce == nonce ? each : target;
-            }
-            Process there = target;
-            at(now() + 1 + chance.nextLong(longestDelay), () -> arrive(there, word));
+        // Of two under one name the later one stands at the address in the file; an answer finds either.
+        Process target = last(place);
+        for (Process each : places.get(place)) {
+            target = nonce != 0 && each.nonce == nonce ? each : target;
         }
+        Process there = target;
+        carry(from.place, place, () -> arrive(there, word));
     }
 
     private void arrive(Process to, Word word) {
--- /dev/null
+++ b/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
@@ -0,0 +1,466 @@
+package vetchrill.peersim;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import vetchrill.versions.Digests;
+import vetchrill.versions.Memory;
+import vetchrill.versions.Saying;
+import vetchrill.versions.Terms;
+import vetchrill.versions.Version;
+import vetchrill.versions.Versions;
+
+/**
+ * A fleet that agrees on versions, on a counted clock: the text of {@link Versions} itself, over a network and disks
+ * that go wrong. What must hold is checked after each step by what this class sees from outside: when a floor was first
+ * confirmed to anybody, until when each process may begin what, and what each took in which order.
+ */
+public final class VersionsWorld extends Wires {
+    /** Something that must not be. */
+    public static final class Broken extends RuntimeException {
+        private static final long serialVersionUID = 1;
+
+        Broken(String what) {
+            super(what);
+        }
+    }
+
+    /** A version and its content, as somebody published it. */
+    private record Published(Version version, byte[] content) {
+    }
+
+    /** One process, and what it may begin by its own word. */
+    public final class Process {
+        final int place;
+        final long nonce = ++nonces;
+        public final Versions versions;
+        boolean up = true;
+        long pausedUntil;
+        private long wakeNumber;
+        private boolean pumping;
+        private final ArrayDeque<Saying> waiting = new ArrayDeque<>();
+        long taken;
+        long floor;
+        long until = Long.MIN_VALUE;
+        /** A version that it knows to be a fork may not be taken any more. */
+        private final List<Long> forks = new ArrayList<>();
+
+        Process(int place) {
+            this.place = place;
+            Memory memory = disks[place];
+            taken = memory == null || memory.taken() == null ? 0 : memory.taken().number();
+            versions = new Versions(terms(place), name(place), zone(place), place % 7 == 6 ? OTHER_TEXT : TEXT, nonce,
+                    memory, chance.nextLong(), now());
+        }
+    }
+
+    public static final String TEXT = "a".repeat(64);
+    private static final String OTHER_TEXT = "b".repeat(64);
+    private static final int MOST_STEPS = 100_000;
+
+    private final int size;
+    private final int keepers;
+    private final int zones;
+    private final long lease;
+    private final long every;
+    private final Memory[] disks;
+    private final boolean[] full;
+    /** Lost or went back, and not whole again since. */
+    private final boolean[] forgetful;
+    public final Process[] processes;
+    private final Map<Long, List<Published>> published = new TreeMap<>();
+    /** When a floor was first held to be confirmed by anybody. */
+    private final TreeMap<Long, Long> confirmedAt = new TreeMap<>();
+    private long confirmed;
+    private long nonces;
+    public long sayings;
+    public long bytes;
+    public long steps;
+    /** For each version, when each process took it after it was published. */
+    public final Map<Long, List<Long>> tookAfter = new HashMap<>();
+    private final Map<Long, Long> publishedAt = new HashMap<>();
+    public final List<String> told = new ArrayList<>();
+    /** How exchanges fare in each place by the version taken; null where nothing is counted. */
+    public Fare fare;
+
+    /** Exchanges that a place has decided since its start by now, and of these denied, failed and broken off. */
+    public interface Fare {
+        long[] of(int place, long taken, long now);
+    }
+
+    public VersionsWorld(int size, int keepers, int zones, long lease, long every, long seed) {
+        super(seed);
+        this.size = size;
+        this.keepers = keepers;
+        this.zones = zones;
+        this.lease = lease;
+        this.every = every;
+        disks = new Memory[size];
+        full = new boolean[size];
+        forgetful = new boolean[size];
+        processes = new Process[size];
+        for (int i = 0; i < size; i++) {
+            forgetful[i] = i < keepers;
+            start(i);
+        }
+    }
+
+    private static String name(int place) {
+        return "r" + place;
+    }
+
+    private String zone(int place) {
+        return "z" + place % zones;
+    }
+
+    private Terms terms(int place) {
+        List<String> others = new ArrayList<>();
+        List<String> kept = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            if (i != place) {
+                others.add(name(i));
+            }
+            if (i < keepers) {
+                kept.add(name(i));
+            }
+        }
+        return new Terms(others, kept, lease, every, 20 * every, false);
+    }
+
+    // What goes wrong, and what is ordered.
+
+    public void start(int place) {
+        if (processes[place] == null || !processes[place].up) {
+            Process process = new Process(place);
+            processes[place] = process;
+            faulty();
+            at(now(), () -> pump(process));
+        }
+    }
+
+    public void kill(int place) {
+        processes[place].up = false;
+        faulty();
+    }
+
+    /**
+     * It comes back without its disk. A keeper only while more than half of them remember all that they promised: past
+     * that nothing is promised.
+     */
+    public boolean loseDisk(int place, Memory instead) {
+        if (place < keepers) {
+            int lost = 1;
+            for (int i = 0; i < keepers; i++) {
+                lost += forgetful[i] && i != place ? 1 : 0;
+            }
+            if (lost > (keepers - 1) / 2) {
+                return false;
+            }
+            forgetful[place] = true;
+        }
+        kill(place);
+        disks[place] = instead;
+        start(place);
+        return true;
+    }
+
+    public Memory disk(int place) {
+        return disks[place];
+    }
+
+    public void fill(int place, boolean is) {
+        full[place] = is;
+        faulty();
+    }
+
+    public void pause(int place, long span) {
+        Process process = processes[place];
+        process.pausedUntil = Math.max(process.pausedUntil, now() + span);
+        at(process.pausedUntil, () -> pump(process));
+        faulty();
+    }
+
+    @Override
+    public void heal() {
+        super.heal();
+        Arrays.fill(full, false);
+        for (int i = 0; i < size; i++) {
+            processes[i].pausedUntil = Math.min(processes[i].pausedUntil, now());
+            start(i);
+            Process process = processes[i];
+            at(now(), () -> pump(process));
+        }
+    }
+
+    /** Null where it was taken. A content whose first octet is a place's number, from 1 on, is refused there. */
+    public String publish(int place, long number, byte[] content, String text, List<Version.Stage> stages, long hold) {
+        Process at = processes[place];
+        if (!at.up || now() < at.pausedUntil) {
+            return "not up";
+        }
+        Version version = new Version(number, name(place), Digests.of(content), content.length, text, stages, hold);
+        at.versions.time(now());
+        String wrong = at.versions.publish(version, content);
+        if (wrong == null) {
+            published.computeIfAbsent(number, any -> new ArrayList<>()).add(new Published(version, content));
+            publishedAt.putIfAbsent(number, now());
+            faulty();
+        }
+        pump(at);
+        return wrong;
+    }
+
+    public String floor(int place, long number) {
+        Process at = processes[place];
+        if (!at.up || now() < at.pausedUntil) {
+            return "not up";
+        }
+        at.versions.time(now());
+        String wrong = at.versions.floor(number);
+        faulty();
+        pump(at);
+        return wrong;
+    }
+
+    public String halt(int place, long number) {
+        Process at = processes[place];
+        if (!at.up || now() < at.pausedUntil) {
+            return "not up";
+        }
+        String wrong = at.versions.halt(number);
+        faulty();
+        pump(at);
+        return wrong;
+    }
+
+    // Owners.
+
+    private void pump(Process process) {
+        if (!process.up || now() < process.pausedUntil || process.pumping) {
+            return;
+        }
+        process.pumping = true;
+        process.versions.time(now());
+        if (fare != null) {
+            long[] counts = fare.of(process.place, process.taken, now());
+            process.versions.counted(counts[0], counts[1], counts[2], counts[3]);
+        }
+        while (!process.waiting.isEmpty()) {
+            process.versions.heard(process.waiting.poll());
+        }
+        int acts = 0;
+        while (process.versions.next(host(process))) {
+            steps++;
+            if (++acts > MOST_STEPS) {
+                throw new Broken("an instance never comes to an end of what it does");
+            }
+        }
+        process.pumping = false;
+        confirmed(process);
+        long number = ++process.wakeNumber;
+        at(Math.max(now() + 1, process.versions.wakeAt()), () -> {
+            if (number == process.wakeNumber) {
+                pump(process);
+            }
+        });
+    }
+
+    private Versions.Host host(Process process) {
+        return new Versions.Host() {
+            @Override
+            public void send(String to, Saying saying) {
+                int place = Integer.parseInt(to.substring(1));
+                if (place == process.place || place >= size) {
+                    throw new Broken("a word goes to a name that nobody else has");
+                }
+                sayings++;
+                bytes += size(saying);
+                carry(process.place, place, () -> {
+                    Process there = processes[place];
+                    if (there.up) {
+                        there.waiting.add(saying);
+                        pump(there);
+                    }
+                });
+            }
+
+            @Override
+            public void keep(Memory memory) {
+                at(now() + 1 + chance.nextLong(100), () -> {
+                    // A process that was killed meanwhile may have brought it to the disk or not.
+                    if (processes[process.place] != process || !process.up && chance.nextBoolean()) {
+                        return;
+                    }
+                    if (full[process.place]) {
+                        process.versions.kept(false);
+                    } else {
+                        disks[process.place] = memory;
+                        forgetful[process.place] &= !memory.able();
+                        process.versions.kept(true);
+                    }
+                    pump(process);
+                });
+            }
+
+            @Override
+            public void tryOut(Version version, byte[] content) {
+                if (!Digests.of(content).equals(version.digest())) {
+                    throw new Broken("a content is tried that is not what was published");
+                }
+                at(now() + 1, () -> {
+                    process.versions.tried(version.number(), content.length > 0 && content[0] == process.place + 1
+                            ? "not on this machine" : null);
+                    pump(process);
+                });
+            }
+
+            @Override
+            public void take(Version version, byte[] content) {
+                took(process, version, content);
+            }
+
+            @Override
+            public void lease(long taken, long floor, long until) {
+                process.floor = floor;
+                process.until = until;
+                if (taken != process.taken) {
+                    throw new Broken("a lease for version " + taken + " while " + process.taken + " decides");
+                }
+                gate(process);
+            }
+
+            @Override
+            public void tell(Versions.Event event, String of, long version, String text) {
+                if (event == Versions.Event.FORK) {
+                    process.forks.add(version);
+                }
+                told.add(now() + " " + name(process.place) + " " + event + " " + of + " " + version + " " + text);
+            }
+        };
+    }
+
+    /** As many octets as it has in CBOR, near enough for a sum. */
+    private static long size(Saying saying) {
+        return 90 + 130L * saying.news().versions().size() + 14L * saying.news().keepers().size()
+                + (saying.piece() == null ? 0 : 70 + saying.piece().bytes().length);
+    }
+
+    private void took(Process process, Version version, byte[] content) {
+        if (version.number() <= process.taken) {
+            throw new Broken("version " + version.number() + " is taken after " + process.taken);
+        }
+        List<Published> there = published.getOrDefault(version.number(), List.of());
+        if (there.stream().noneMatch(each -> each.version.equals(version) && Arrays.equals(each.content, content))) {
+            throw new Broken("a version is taken that nobody published");
+        }
+        if (content.length > 0 && content[0] == process.place + 1) {
+            throw new Broken("a version is taken that is refused here");
+        }
+        if (!version.text().isEmpty() && !version.text().equals(process.place % 7 == 6 ? OTHER_TEXT : TEXT)) {
+            throw new Broken("a version is taken that is for another program");
+        }
+        if (process.forks.contains(version.number())) {
+            throw new Broken("a version is taken that is known to be a fork");
+        }
+        Memory disk = disks[process.place];
+        if (disk == null || disk.taken() == null || !disk.taken().equals(version)) {
+            throw new Broken("a version is taken that is not on the disk");
+        }
+        process.taken = version.number();
+        tookAfter.computeIfAbsent(version.number(), any -> new ArrayList<>())
+                .add(now() - publishedAt.get(version.number()));
+        gate(process);
+    }
+
+    // What must hold.
+
+    private void confirmed(Process process) {
+        long floor = process.versions.confirmed();
+        if (floor > confirmed) {
+            confirmed = floor;
+            confirmedAt.put(floor, now());
+            for (Process each : processes) {
+                if (each.up) {
+                    gate(each);
+                }
+            }
+        }
+    }
+
+    /** Nothing is begun under a floor later than one lease after it was confirmed. */
+    private void gate(Process process) {
+        for (Map.Entry<Long, Long> each : confirmedAt.entrySet()) {
+            if (process.taken < each.getKey() && process.floor <= process.taken
+                    && process.until > each.getValue() + lease) {
+                throw new Broken("version " + process.taken + " may be begun by until " + process.until
+                        + ", the floor " + each.getKey() + " was confirmed at " + each.getValue());
+            }
+        }
+    }
+
+    /** Long enough after the last fault, all know the floor and have what they may have. */
+    public void settled() {
+        long highest = 0;
+        for (Process each : processes) {
+            highest = Math.max(highest, each.versions.floor());
+        }
+        for (Process each : processes) {
+            if (each.versions.floor() != highest) {
+                throw new Broken(name(each.place) + " does not know of the floor " + highest);
+            }
+            if (each.versions.confirmed() != highest) {
+                throw new Broken("the floor " + highest + " is confirmed by nobody to " + name(each.place));
+            }
+            if (each.versions.leaseUntil() <= now()) {
+                throw new Broken(name(each.place) + " has no lease though all is well");
+            }
+        }
+        for (int i = 0; i < size; i++) {
+            long should = should(i, highest);
+            if (processes[i].taken < should) {
+                throw new Broken(name(i) + " decides by " + processes[i].taken + " and not by " + should);
+            }
+        }
+    }
+
+    /** The highest that nothing speaks against there, and that somebody is left to have. */
+    private long should(int place, long floor) {
+        long should = 0;
+        long newest = 0;
+        for (Map.Entry<Long, List<Published>> each : published.entrySet()) {
+            long number = each.getKey();
+            newest = number;
+            Published one = each.getValue().get(0);
+            String text = place % 7 == 6 ? OTHER_TEXT : TEXT;
+            boolean stopped = false;
+            for (Process process : processes) {
+                stopped |= process.versions.versions().stream()
+                        .anyMatch(noted -> noted.version().number() == number && !noted.stopped().isEmpty());
+            }
+            boolean held = processes[place].versions.versions().stream()
+                    .anyMatch(noted -> noted.version().number() == number);
+            boolean had = Arrays.stream(processes).anyMatch(process -> process.taken == number);
+            boolean refused = one.content.length > 0 && one.content[0] == place + 1
+                    || !one.version.text().isEmpty() && !one.version.text().equals(text);
+            if (each.getValue().stream().map(Published::version).map(Version::digest).distinct().count() == 1
+                    && !stopped && held && had && !refused && whole(one.version)) {
+                should = number;
+            }
+        }
+        return newest == 0 ? 0 : should;
+    }
+
+    private static boolean whole(Version version) {
+        return version.stages().stream().anyMatch(stage -> stage.zone().isEmpty() && stage.share() == 1)
+                && version.hold() == 0;
+    }
+
+    /** When the last fault is over for everybody. */
+    public long settles() {
+        return lastFault + 6 * lease + 60 * every;
+    }
+}
--- /dev/null
+++ b/peers/src/main/java/vetchrill/versions/Digests.java
@@ -0,0 +1,23 @@
+package vetchrill.versions;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 in hexadecimal digits. */
+public final class Digests {
+    private Digests() {
+    }
+
+    public static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public static String of(byte[] bytes) {
+        return HexFormat.of().formatHex(sha256().digest(bytes));
+    }
+}
--- /dev/null
+++ b/peers/src/main/java/vetchrill/versions/Version.java
@@ -0,0 +1,65 @@
+package vetchrill.versions;
+
+import java.util.List;
+
+/**
+ * What the fleet is to act by, under a number that only grows; a rollback is a higher number with older content.
+ *
+ * @param number 1 or more; 0 is what an instance was started with
+ * @param author the instance that was told to publish it
+ * @param digest of the content, SHA-256 in hexadecimal digits
+ * @param size of the content in bytes
+ * @param text digest of the program that may take it; empty for any
+ * @param stages who may take it, one after the other
+ * @param hold tenths of a millisecond between two stages
+ */
+public record Version(long number, String author, String digest, int size, String text, List<Stage> stages,
+        long hold) {
+    /** A part of a zone; an empty zone stands for all of them. */
+    public record Stage(String zone, double share) {
+        public Stage {
+            if (zone == null || !(share >= 0 && share <= 1)) {
+                throw new IllegalArgumentException("a stage without a zone or a share from 0 to 1");
+            }
+        }
+    }
+
+    public static final int LARGEST = 1 << 20;
+    private static final int MOST_STAGES = 32;
+
+    public Version {
+        if (number < 1 || author == null || digest == null || !digest.matches("[0-9a-f]{64}") || size < 0
+                || size > LARGEST || text == null || !text.matches("([0-9a-f]{64})?") || stages == null
+                || stages.isEmpty() || stages.size() > MOST_STAGES || hold < 0) {
+            throw new IllegalArgumentException("no version");
+        }
+        stages = List.copyOf(stages);
+    }
+
+    /** Whether both are one, whoever published it: two with one number that are not are a fork. */
+    boolean sameAs(Version other) {
+        return number == other.number && digest.equals(other.digest) && text.equals(other.text)
+                && stages.equals(other.stages) && hold == other.hold;
+    }
+
+    /** How many stages must be open until this instance may take it; more than there are where it never may. */
+    int stageOf(String name, String zone) {
+        for (int i = 0; i < stages.size(); i++) {
+            Stage stage = stages.get(i);
+            if ((stage.zone().isEmpty() || stage.zone().equals(zone)) && part(name) < stage.share()) {
+                return i;
+            }
+        }
+        return stages.size();
+    }
+
+    /** From 0 to 1, the same wherever it is asked for: who is early in one version may be late in the next. */
+    private double part(String name) {
+        long mixed = number * 0x9e3779b97f4a7c15L;
+        for (int i = 0; i < name.length(); i++) {
+            mixed = (mixed ^ name.charAt(i)) * 0xbf58476d1ce4e5b9L;
+            mixed ^= mixed >>> 29;
+        }
+        return (mixed >>> 11) * 0x1.0p-53;
+    }
+}
