The module heeds a floor and a lease; each exchange is decided by one version to its end

Need: an instance that missed a change must be able to be shut out, and each exchange be decided by one version.

The module is told of a floor and of the end of a lease: past them what is held is denied with a time to come back and health goes out; without such a word it decides as before. The chain takes another version at one point of the decision thread, with what was measured of the groups kept, and looks at the lease once more as a run is asked for.

--- a/instance/src/main/java/vetchrill/control/EndpointGroup.java
+++ b/instance/src/main/java/vetchrill/control/EndpointGroup.java
@@ -17,8 +17,21 @@
     /** Part of the benefit kept by an answer made without the call. */
     public double benefitWithoutCall;
 
-    final Histogram onCore = new Histogram();
+    final Histogram onCore;
     /** Core time that the completed ones were said to need. */
-    final Histogram said = new Histogram();
-    final Histogram atCalls = new Histogram();
+    final Histogram said;
+    final Histogram atCalls;
+
+    public EndpointGroup() {
+        onCore = new Histogram();
+        said = new Histogram();
+        atCalls = new Histogram();
+    }
+
+    /** The same group as another version tells of it: what was measured of it stays. */
+    public EndpointGroup(EndpointGroup measured) {
+        onCore = measured.onCore;
+        said = measured.said;
+        atCalls = measured.atCalls;
+    }
 }
--- a/instance/src/main/java/vetchrill/control/Exchange.java
+++ b/instance/src/main/java/vetchrill/control/Exchange.java
@@ -24,6 +24,8 @@
     /** Core time it is said to need; 0 where nothing is said. */
     public long work;
     public double kb;
+    /** By which version it is decided, from its arrival to its end; 0 where there are none. */
+    public long version;
     /** It was tried before, here or elsewhere; never set where further tries are not marked. */
     public boolean furtherTry;
     /** It repeats a remembered exchange: {@code prior}, or null when that has long been forgotten. */
--- a/instance/src/main/java/vetchrill/control/OverloadController.java
+++ b/instance/src/main/java/vetchrill/control/OverloadController.java
@@ -116,6 +116,9 @@
     private boolean leaving;
     private long stopAt;
     private long graceUntil;
+    private long taken;
+    private long floor;
+    private long leasedUntil = Long.MAX_VALUE;
 
     private long idleTime;
     private long idleSaid;
@@ -263,6 +266,18 @@
         sweep = true;
     }
 
+    /**
+     * Agreed with other instances: nothing of a version under the floor is begun any more, and nothing at all
+     * from {@code until} on, as a higher floor may be in force by then that was not heard of. Without such a word
+     * all goes on.
+     */
+    public void leased(long taken, long floor, long until, long now) {
+        note(now);
+        this.taken = taken;
+        this.floor = floor;
+        leasedUntil = until;
+    }
+
     public void gauges(double cpu, double runnable, double connections, long now) {
         note(now);
         this.cpu = cpu;
@@ -622,8 +637,9 @@
         hopeless.answered = true;
         release(hopeless);
         if (mayBeDenied(hopeless)) {
-            boolean soon = !stuck && !failing && !leaving;
-            boolean forGood = !stuck && !failing && shouldGiveUp();
+            boolean barred = barred(hopeless);
+            boolean soon = !stuck && !failing && !leaving && !barred;
+            boolean forGood = !stuck && !failing && !barred && shouldGiveUp();
             long away = (soon ? Math.min(told.longestAway, shortestSlo / TURNOVER) : told.longestAway) / 4;
             host.deny(hopeless, away + chance.nextLong(3 * away + 1), forGood);
         } else {
@@ -653,6 +669,10 @@
         return chance.nextDouble() < part;
     }
 
+    private boolean barred(Exchange ex) {
+        return ex.version < floor || now >= leasedUntil;
+    }
+
     private Exchange firstHopeless() {
         double ahead = 0;
         for (Exchange ex : running) {
@@ -665,7 +685,7 @@
             if (stuck || failing && !probe) {
                 return ex;
             }
-            if (!mayBeDenied(ex) && !ex.paused || leaving && ex.arrived > graceUntil) {
+            if (barred(ex) || !mayBeDenied(ex) && !ex.paused || leaving && ex.arrived > graceUntil) {
                 return ex;
             }
             double expected = expect(ex);
@@ -705,7 +725,8 @@
     }
 
     private boolean advise(Host host) {
-        int health = leaving || told.listFollowsHealth && now < illUntil ? 0 : 1;
+        boolean shutOut = taken < floor || now >= leasedUntil;
+        int health = leaving || shutOut || told.listFollowsHealth && now < illUntil ? 0 : 1;
         if (health != healthSaid) {
             healthSaid = health;
             host.health(health == 1);
--- a/instance/src/main/java/vetchrill/program/Serve.java
+++ b/instance/src/main/java/vetchrill/program/Serve.java
@@ -29,6 +29,19 @@
 
     /** The same, with what it does written down by {@code recorder} unless that is null. */
     public static int run(Map<String, String> environment, Recorder recorder) {
+        return run(environment, recorder, new Clock(), null);
+    }
+
+    /** Who is told of the chain before anything comes to it; what it throws ends the start with 2 and its message. */
+    public interface Beside {
+        void begin(Chain chain) throws IOException;
+
+        /** On the thread that ends the process, which waits for it. */
+        void end();
+    }
+
+    /** The same by a clock, and with something beside it unless that is null. */
+    public static int run(Map<String, String> environment, Recorder recorder, Clock clock, Beside beside) {
         Start start;
         try {
             start = new Start(environment);
@@ -37,7 +50,6 @@
             return 2;
         }
         Limits limits = start.limits;
-        Clock clock = new Clock();
         DecisionThread thread = new DecisionThread(clock, limits);
         Chain chain = new Chain(start.facts, start.seed, clock, thread,
                 new MembershipCall(start.members, start.name, limits), limits, recorder);
@@ -48,6 +60,14 @@
             System.err.println("vetchrill: can't listen on " + start.listen + ": " + e.getMessage());
             return 2;
         }
+        try {
+            if (beside != null) {
+                beside.begin(chain);
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println("vetchrill: " + e.getMessage());
+            return 2;
+        }
         Thread.setDefaultUncaughtExceptionHandler((where, e) -> {
             // An instance that lost a thread is not to go on half dead while it still reports that it is well.
             System.err.println("vetchrill: thread " + where.getName() + " failed");
@@ -84,6 +104,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (beside != null) {
+            beside.end();
+        }
         if (recorder != null) {
             recorder.close();
         }
--- a/instance/src/main/java/vetchrill/protocol/DeploymentReader.java
+++ b/instance/src/main/java/vetchrill/protocol/DeploymentReader.java
@@ -12,6 +12,9 @@
 public final class DeploymentReader {
     public static final ObjectMapper JSON = new ObjectMapper();
 
+    /** What another version may tell anew of a group. */
+    private static final List<String> RETOLD = List.of("aimMs", "aimStretch", "deadlineMs", "gain", "lateShare");
+
     public final Deployment deployment = new Deployment();
     /** Where each gauge stands in a row of gauges; -1 where it is not sent. */
     public final int cpuAt;
@@ -85,6 +88,64 @@
         memoryAt = position(meters, "mem_used");
     }
 
+    /** The groups as another version tells of them, with what was measured of them here. */
+    public List<EndpointGroup> retold(DeploymentReader by) {
+        List<EndpointGroup> again = new ArrayList<>();
+        for (int i = 0; i < deployment.groups.size(); i++) {
+            EndpointGroup told = by.deployment.groups.get(i);
+            EndpointGroup group = new EndpointGroup(deployment.groups.get(i));
+            group.effect = told.effect;
+            group.sloTime = told.sloTime;
+            group.sloStretch = told.sloStretch;
+            group.asyncTimeout = told.asyncTimeout;
+            group.benefit = told.benefit;
+            group.lateShare = told.lateShare;
+            group.window = told.window;
+            group.mayCall = told.mayCall;
+            group.benefitWithoutCall = told.benefitWithoutCall;
+            again.add(group);
+        }
+        return again;
+    }
+
+    /**
+     * Null where an instance that runs by {@code own} settings could take {@code other} without a start, else what
+     * differs that it can't. Times, benefits and what being late costs may change; what the instance is, and its
+     * groups and customers by number, name and effect, may not.
+     */
+    public static String notRetold(JsonNode own, JsonNode other) {
+        if (other == null || !other.isObject()) {
+            return "settings are no JSON object";
+        }
+        for (JsonNode group : other.path("categories")) {
+            for (String key : RETOLD) {
+                boolean least = key.equals("aimMs") || key.equals("deadlineMs");
+                double value = group.path(key).asDouble(-1);
+                if (group.has(key) && !(group.path(key).isNumber() && (least ? value > 0 : value >= 0))) {
+                    return key + " of " + group.path("name").asText() + " is " + group.path(key)
+                            + ", should be a number " + (least ? "above 0" : "of 0 or more");
+                }
+            }
+        }
+        JsonNode mine = own.deepCopy();
+        JsonNode theirs = other.deepCopy();
+        for (JsonNode root : List.of(mine, theirs)) {
+            for (JsonNode group : root.path("categories")) {
+                if (group instanceof com.fasterxml.jackson.databind.node.ObjectNode told) {
+                    told.remove(RETOLD);
+                }
+            }
+        }
+        if (mine.equals(theirs)) {
+            return null;
+        }
+        var names = new java.util.TreeSet<String>();
+        mine.fieldNames().forEachRemaining(names::add);
+        theirs.fieldNames().forEachRemaining(names::add);
+        names.removeIf(name -> mine.path(name).equals(theirs.path(name)));
+        return "only a start can change " + String.join(", ", names);
+    }
+
     /** What stands in for a list by its size alone has no places to look at. */
     private static void list(JsonNode node, String key) {
         if (node.path(key).isObject()) {
--- a/instance/src/main/java/vetchrill/routing/Admit.java
+++ b/instance/src/main/java/vetchrill/routing/Admit.java
@@ -1,5 +1,7 @@
 package vetchrill.routing;
 
+import java.util.List;
+import vetchrill.control.EndpointGroup;
 import vetchrill.control.Exchange;
 import vetchrill.control.OverloadController;
 import vetchrill.protocol.DeploymentReader;
@@ -25,6 +27,13 @@
     /** When that was heard: the grace runs from then on, though the interpreter comes up later. */
     private long leftAt;
     private double[] gauges = new double[0];
+    /** The version by which is decided what arrives, and its groups; null while that is what was told at start. */
+    private long version;
+    private List<EndpointGroup> groups;
+    private long floor;
+    private long leasedUntil = Long.MAX_VALUE;
+    /** Decided to be begun in time, and not asked for since the lease ran out in between. */
+    int heldBack;
     /** The oldest that an exchange was when it came to the decision thread, since the last summary. */
     long oldest;
 
@@ -46,6 +55,40 @@
         if (stopAt > 0) {
             controller.leave(stopAt, leftAt);
         }
+        controller.leased(version, floor, leasedUntil, clock.now());
+    }
+
+    /** One point in the order of all that arrives: what came before is decided by the version of then. */
+    void take(long version, List<EndpointGroup> groups) {
+        this.version = version;
+        this.groups = groups;
+        if (recorder != null) {
+            recorder.taken(version);
+        }
+        leased(floor, leasedUntil);
+    }
+
+    void leased(long floor, long until) {
+        this.floor = floor;
+        leasedUntil = until;
+        if (controller != null) {
+            controller.leased(version, floor, until, clock.now());
+        }
+    }
+
+    /** Looked at once more as a run is asked for: the process may have stood still since that was decided. */
+    boolean mayBegin(Open ex) {
+        return ex.version >= floor && (leasedUntil == Long.MAX_VALUE || clock.now() < leasedUntil);
+    }
+
+    /** The module holds it to be begun, and nothing of it was asked for. */
+    void notBegun(Open ex) {
+        if (!ex.over()) {
+            heldBack++;
+            controller.finished(ex, Exchange.Outcome.NOTHING_STARTED, 0, clock.now());
+            book.deny(ex, facts.deployment.longestAway, false, clock.now());
+            book.forgetIfOver(ex);
+        }
     }
 
     boolean begun() {
@@ -55,28 +98,32 @@
     void arrived(Open ex) {
         long now = clock.now();
         ex.stub.onTheWay.decrementAndGet();
+        ex.version = version;
+        if (groups != null) {
+            ex.group = groups.get(ex.groupAt);
+        }
         if (ex.stub.closed) {
-            book.drop(ex);
+            book.turnedAway(ex, Recorder.LEFT);
             return;
         }
         if (ex.stub.open.containsKey(ex.stream)) {
             // An answer on its stream would be taken for that of the exchange which has it.
             strike(ex, "a stream used while it is open");
-            turnAway(ex, Frames.terminated(0));
+            turnAway(ex, Frames.terminated(0), Recorder.TERMINATED);
             return;
         }
         if (book.has(ex.id)) {
             strike(ex, "a rid used while it is open");
-            turnAway(ex, Frames.terminated(ex.stream));
+            turnAway(ex, Frames.terminated(ex.stream), Recorder.TERMINATED);
             return;
         }
         if (ex.stub.open.size() >= limits.openPerConnection) {
             strike(ex, "more open than a connection carries");
-            turnAway(ex, Frames.denied(ex.stream, 0, false));
+            turnAway(ex, Frames.denied(ex.stream, 0, false), Recorder.DENIED);
             return;
         }
         if (controller == null) {
-            turnAway(ex, Frames.denied(ex.stream, 0, false));
+            turnAway(ex, Frames.denied(ex.stream, 0, false), Recorder.DENIED);
             return;
         }
         oldest = Math.max(oldest, now - ex.arrived);
@@ -91,9 +138,9 @@
         lines.tell(LOG, "bad input: {0}", what);
     }
 
-    private void turnAway(Open ex, byte[] frame) {
+    private void turnAway(Open ex, byte[] frame, byte answer) {
         ex.stub.connection.send(frame);
-        book.drop(ex);
+        book.turnedAway(ex, answer);
     }
 
     /** A connection that was reset takes its answers with it: its callers have left, whoever they were. */
--- a/instance/src/main/java/vetchrill/routing/Book.java
+++ b/instance/src/main/java/vetchrill/routing/Book.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
-import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.Frames;
 import vetchrill.transport.Limits;
 
@@ -22,7 +21,6 @@
     /** That of the callers: some hold for good what they don't use any more. */
     private final long callerIdleTime;
     private long idleTime;
-    private final DeploymentReader facts;
     /** Null where nothing is recorded. */
     private final Recorder recorder;
     private boolean drained;
@@ -32,10 +30,9 @@
     int idleClosed;
     int evicted;
 
-    Book(Limits limits, DecisionThread thread, AtomicLong heldBytes, DeploymentReader facts, Recorder recorder) {
-        this.facts = facts;
+    Book(Limits limits, DecisionThread thread, AtomicLong heldBytes, long callerIdleTime, Recorder recorder) {
         this.recorder = recorder;
-        callerIdleTime = facts.deployment.callerIdleTime;
+        this.callerIdleTime = callerIdleTime;
         idleTime = callerIdleTime;
         this.limits = limits;
         this.thread = thread;
@@ -135,12 +132,25 @@
         }
     }
 
+    /** It was turned away before it came to be open. */
+    void turnedAway(Open ex, byte answer) {
+        drop(ex);
+        if (recorder != null) {
+            ex.answer = answer;
+            ex.heard = thread.now();
+            ex.answeredAt = ex.heard;
+            record(ex);
+        }
+    }
+
     private void record(Open ex) {
         Recorder.ExchangeRow row = recorder.claimExchange();
         if (row != null) {
             row.arrived = ex.arrived;
             row.heard = ex.heard;
-            row.group = facts.deployment.groups.indexOf(ex.group);
+            row.id = Long.parseUnsignedLong(ex.id, 16);
+            row.version = ex.version;
+            row.group = ex.groupAt;
             row.customer = ex.customer;
             row.stub = ex.peer;
             row.subject = ex.subject;
--- a/instance/src/main/java/vetchrill/routing/Chain.java
+++ b/instance/src/main/java/vetchrill/routing/Chain.java
@@ -1,8 +1,10 @@
 package vetchrill.routing;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import vetchrill.control.EndpointGroup;
 import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.FrameReader;
 import vetchrill.protocol.InterpreterLines;
@@ -57,9 +59,9 @@
         lines = new PeerLines(limits);
         this.readers = readers;
         this.writers = writers;
-        book = new Book(limits, thread, heldBytes, facts, recorder);
+        book = new Book(limits, thread, heldBytes, facts.deployment.callerIdleTime, recorder);
         admit = new Admit(facts, seed, clock, book, limits, lines, recorder);
-        send = new Send(limits, thread, clock, book, admit);
+        send = new Send(limits, thread, clock, book, admit, recorder);
         report = new Report(membership, limits);
         route = new Route(clock, thread, book, send, report);
     }
@@ -86,6 +88,23 @@
         report.move(members);
     }
 
+    /**
+     * What arrives from one point on is decided by that version: by its groups, told anew, or by those told at start
+     * where {@code told} is null. What came before stays with the version of then. On any thread.
+     */
+    public void take(long version, DeploymentReader told) {
+        List<EndpointGroup> groups = told == null ? null : facts.retold(told);
+        thread.post(() -> admit.take(version, groups));
+    }
+
+    /**
+     * Nothing of a version under the floor is begun any more, and nothing at all from {@code until} on, by the chain's
+     * clock. On any thread.
+     */
+    public void leased(long floor, long until) {
+        thread.post(() -> admit.leased(floor, until));
+    }
+
     /** One report of health, for whoever simulates the chain; how long to pause after it. */
     public long report() {
         return report.reportNow();
--- a/instance/src/main/java/vetchrill/routing/Open.java
+++ b/instance/src/main/java/vetchrill/routing/Open.java
@@ -10,6 +10,7 @@
     final int stream;
     /** The only part of its frame that outlives the buffer. */
     final byte[] body;
+    int groupAt;
     /** The number that its stub goes by, and what stands for its subject where this is recorded. */
     long peer;
     long subject;
--- a/instance/src/main/java/vetchrill/routing/Recorder.java
+++ b/instance/src/main/java/vetchrill/routing/Recorder.java
@@ -14,6 +14,9 @@
 
     /** One exchange, written down when it is answered and nothing of it runs any more. Times as on {@link Clock}. */
     final class ExchangeRow {
+        /** As its stub names it, and the version by which it was decided. */
+        public long id;
+        public long version;
         public long arrived;
         /** When it came to the decision thread: what lies between is its reading. */
         public long heard;
@@ -56,6 +59,14 @@
 
     void put(ExchangeRow row);
 
+    /** On the decision thread: a run of it is asked for, for the first time. */
+    default void begun(long id, long version, int group, int customer, long at) {
+    }
+
+    /** On the decision thread: what arrives from now on is decided by this version. */
+    default void taken(long version) {
+    }
+
     /** On the decision thread; null where there is no room. */
     LookRow claimLook();
 
--- a/instance/src/main/java/vetchrill/routing/Send.java
+++ b/instance/src/main/java/vetchrill/routing/Send.java
@@ -23,8 +23,11 @@
     /** The look whose gauges are waited for; 0 for none. */
     private long lookOpen;
     int looksWithout;
+    /** Null where nothing is recorded. */
+    private final Recorder recorder;
 
-    Send(Limits limits, DecisionThread thread, Clock clock, Book book, Admit admit) {
+    Send(Limits limits, DecisionThread thread, Clock clock, Book book, Admit admit, Recorder recorder) {
+        this.recorder = recorder;
         this.limits = limits;
         this.thread = thread;
         this.clock = clock;
@@ -72,6 +75,16 @@
     }
 
     private void askFor(Open ex) {
+        if (!ex.done && !admit.mayBegin(ex)) {
+            // What was asked for before may run: its answer is waited for, but nothing is started by asking again.
+            if (ex.appliedOn == 0) {
+                thread.at(clock.now(), () -> admit.notBegun(ex));
+            }
+            return;
+        }
+        if (recorder != null && ex.appliedOn == 0) {
+            recorder.begun(Long.parseUnsignedLong(ex.id, 16), ex.version, ex.groupAt, ex.customer, clock.now());
+        }
         ex.appliedOn = linkNumber;
         link.send(InterpreterLines.apply(ex.id, ex.groupName, ex.body));
     }
--- a/instance/src/main/java/vetchrill/routing/TakeIn.java
+++ b/instance/src/main/java/vetchrill/routing/TakeIn.java
@@ -112,6 +112,7 @@
         Open ex = new Open(id, facts.groupNames.get(group), stub, stream,
                 Arrays.copyOfRange(buf, fields.end(), to));
         ex.group = facts.deployment.groups.get(group);
+        ex.groupAt = group;
         ex.customer = customer;
         ex.kb = kb;
         ex.peer = peer;
