Instances agree on versions in real processes, keep a record, and are played with faults between them

Need: which instance decided which exchange by what, and a straggler that is shut out, in processes and not only simulated.

serve takes blocks versions and audit of the operator's file; fleet publish, floor, halt, versions; audit collect, verify, who, timeline, stragglers; a rig of real processes with a faulty way between each ordered pair.

--- a/instance/src/main/java/vetchrill/control/OverloadController.java
+++ b/instance/src/main/java/vetchrill/control/OverloadController.java
@@ -268,8 +268,8 @@
 
     /**
      * Agreed with other instances: nothing of a version under the floor is begun any more, and nothing at all
-     * from {@code until} on, as a higher floor may be in force by then that was not heard of. Without such a word
-     * all goes on.
+     * from {@code until} on, as a higher floor may be in force by then that was not heard of. Without such a
+     * word all goes on.
      */
     public void leased(long taken, long floor, long until, long now) {
         note(now);
--- a/instance/src/main/java/vetchrill/routing/Recorder.java
+++ b/instance/src/main/java/vetchrill/routing/Recorder.java
@@ -37,6 +37,25 @@
         /** The advice that went with a denial: tenths of a millisecond to stay away, 0 for none. */
         public long away;
         public boolean giveUp;
+
+        public void copy(ExchangeRow from) {
+            id = from.id;
+            version = from.version;
+            arrived = from.arrived;
+            heard = from.heard;
+            group = from.group;
+            customer = from.customer;
+            stub = from.stub;
+            subject = from.subject;
+            kb = from.kb;
+            bytes = from.bytes;
+            begun = from.begun;
+            took = from.took;
+            answered = from.answered;
+            answer = from.answer;
+            away = from.away;
+            giveUp = from.giveUp;
+        }
     }
 
     /** One look at the gauges. */
--- /dev/null
+++ b/lab/src/main/java/vetchrill/peering/Program.java
@@ -0,0 +1,47 @@
+package vetchrill.peering;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import java.util.List;
+import vetchrill.control.OverloadController;
+import vetchrill.versions.Digests;
+
+/** Which program this is, as digests: of its text, the jar or the folder of classes, and of the module alone. */
+public final class Program {
+    private Program() {
+    }
+
+    public static String text() throws IOException {
+        Path at;
+        try {
+            at = Path.of(OverloadController.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        } catch (URISyntaxException e) {
+            throw new IOException(e.getMessage());
+        }
+        MessageDigest all = Digests.sha256();
+        if (Files.isRegularFile(at)) {
+            all.update(Files.readAllBytes(at));
+        } else {
+            List<Path> files;
+            try (var walk = Files.walk(at)) {
+                files = walk.filter(Files::isRegularFile).sorted().toList();
+            }
+            for (Path each : files) {
+                all.update(at.relativize(each).toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+                all.update(Files.readAllBytes(each));
+            }
+        }
+        return HexFormat.of().formatHex(all.digest());
+    }
+
+    public static String policy() throws IOException {
+        try (InputStream in = OverloadController.class.getResourceAsStream("OverloadController.class")) {
+            return Digests.of(in.readAllBytes());
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/standin/AuditPlay.java
@@ -0,0 +1,259 @@
+package vetchrill.standin;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import vetchrill.audit.Row;
+import vetchrill.auditing.Fleetwide;
+import vetchrill.auditing.History;
+import vetchrill.standin.AuditRig.Answered;
+import vetchrill.standin.AuditRig.Applied;
+import vetchrill.standin.AuditRig.Confirmed;
+import vetchrill.standin.AuditRig.Gone;
+
+/**
+ * One play of the rig: versions are published and floors raised while processes are killed, stopped, cut off, lose
+ * their disks and their clocks step; then all is healed, and what stubs and interpreters counted is held against the
+ * records.
+ */
+public final class AuditPlay {
+    /** What may be missing of a killed process: what was noted so long before it went. */
+    public static final int TAIL_MS = AuditRig.FLUSH_MS + 120;
+
+    /** What came of it. */
+    public static final class Outcome {
+        public int processes;
+        public int faults;
+        public long exchanges;
+        public long unaccounted;
+        public long misattributed;
+        public long belowFloor;
+        /** By how much later than one lease after the confirmation the latest was begun; below 0 for earlier. */
+        public long fenceOverLeaseMs = Long.MIN_VALUE;
+        public int floors;
+        public int forks;
+        public int disksLost;
+        public long leftOut;
+        public final List<Long> publishMs = new ArrayList<>();
+        public final List<String> wrong = new ArrayList<>();
+        public boolean ended = true;
+    }
+
+    private record At(int place, long id) {
+    }
+
+    private AuditPlay() {
+    }
+
+    /** Plays so many troubles, drawn from the seed, in a folder that is there and empty. */
+    public static Outcome play(int size, int keepers, int troubles, long seed, Path folder) throws IOException,
+            InterruptedException {
+        Outcome outcome = new Outcome();
+        outcome.processes = size;
+        SplittableRandom chance = new SplittableRandom(seed);
+        try (AuditRig rig = new AuditRig(size, keepers, folder, seed)) {
+            rig.untilAll(0);
+            rig.load(40);
+            for (int i = 0; i < troubles; i++) {
+                trouble(rig, size, keepers, chance, outcome);
+            }
+            long last = rig.number + 1;
+            if (!rig.publish(chance.nextInt(size), last, 1)) {
+                throw new IllegalStateException("nothing can be published though all is well");
+            }
+            outcome.publishMs.add(rig.untilAll(last));
+            Thread.sleep(300);
+            for (int code : rig.end()) {
+                outcome.ended &= code == 0;
+            }
+            outcome.faults = rig.faults;
+            judge(rig, outcome);
+        }
+        return outcome;
+    }
+
+    /** One trouble, begun before a version or a floor and healed after it. */
+    private static void trouble(AuditRig rig, int size, int keepers, SplittableRandom chance, Outcome outcome)
+            throws IOException, InterruptedException {
+        int at = chance.nextInt(size);
+        int other = (at + 1 + chance.nextInt(size - 1)) % size;
+        int kind = chance.nextInt(10);
+        int bits = 0;
+        switch (kind) {
+            case 0, 1 -> rig.kill(at);
+            case 2 -> rig.signal(at, "STOP");
+            case 3 -> {
+                // Fewer than half of the keepers, and of all.
+                bits = 1 << at;
+                rig.part(bits, true);
+            }
+            case 4 -> rig.mute(at, true, true);
+            case 5 -> rig.mute(at, false, true);
+            case 6 -> rig.delay(at, 30);
+            case 7 -> rig.stepClock(at, chance.nextBoolean() ? 3_600_000 : -3_600_000);
+            case 8 -> rig.fill(at, true);
+            default -> rig.cut(at);
+        }
+        long version = rig.number + 1;
+        boolean published = rig.publish(other, version, 1);
+        if (kind == 0 && chance.nextBoolean()) {
+            // The other half hears of another content under the same number.
+            published &= !rig.publish((other + 1) % size, version, 2);
+        }
+        boolean untouched = published && (kind == 6 || kind == 7 || kind == 9);
+        if (untouched) {
+            outcome.publishMs.add(rig.untilAll(version));
+        } else {
+            Thread.sleep(100 + chance.nextInt(400));
+        }
+        if (published && chance.nextInt(3) > 0 && rig.floor(other, version, 5_000)) {
+            outcome.floors++;
+            // Whoever can't follow must have come to an end by then.
+            Thread.sleep(AuditRig.LEASE_MS + 300);
+        }
+        switch (kind) {
+            case 0, 1 -> {
+                int back = chance.nextInt(4);
+                if (back == 0) {
+                    rig.loseDisk(at);
+                    outcome.disksLost++;
+                } else if (back == 1) {
+                    rig.tear(at);
+                }
+                rig.start(at);
+            }
+            case 2 -> rig.signal(at, "CONT");
+            case 3 -> rig.part(bits, false);
+            case 4 -> rig.mute(at, true, false);
+            case 5 -> rig.mute(at, false, false);
+            case 6 -> rig.delay(at, 0);
+            case 7 -> rig.stepClock(at, 0);
+            case 8 -> rig.fill(at, false);
+            default -> {
+            }
+        }
+        // All serve again before the next one; by which version depends on what became of this one.
+        for (int tries = 0; tries < 600; tries++) {
+            boolean all = true;
+            for (int i = 0; i < size; i++) {
+                try {
+                    all &= !rig.status(i).path("barred").asBoolean();
+                } catch (IOException e) {
+                    all = false;
+                }
+            }
+            if (all) {
+                return;
+            }
+            Thread.sleep(50);
+        }
+        throw new IllegalStateException("not all serve again after trouble " + kind + " at " + AuditRig.name(at));
+    }
+
+    private static void judge(AuditRig rig, Outcome outcome) throws IOException {
+        Fleetwide fleet = new Fleetwide(rig.records());
+        Map<At, Long> begun = new ConcurrentHashMap<>();
+        Map<At, Row> over = new ConcurrentHashMap<>();
+        fleet.read((history, row) -> {
+            At key = new At(Integer.parseInt(history.name.substring(1)), row.id());
+            if (row.kind() == Row.Kind.BEGUN) {
+                begun.put(key, row.version());
+            } else if (row.kind() == Row.Kind.OVER) {
+                over.put(key, row);
+            }
+        });
+        for (History each : fleet.histories) {
+            outcome.leftOut += each.leftOut;
+            outcome.wrong.addAll(each.wrong.stream().map(what -> each.name + ": " + what)
+                    .filter(what -> !what.contains("the clock went back")).toList());
+        }
+        outcome.forks = fleet.forks().size();
+        Set<Integer> leftOut = new HashSet<>();
+        fleet.histories.forEach(each -> {
+            if (each.leftOut > 0) {
+                leftOut.add(Integer.parseInt(each.name.substring(1)));
+            }
+        });
+        Map<Integer, Long> missing = new HashMap<>();
+        for (Answered each : rig.answered) {
+            if (each.code() == 0) {
+                continue;
+            }
+            outcome.exchanges++;
+            Row row = over.get(new At(each.place(), each.id()));
+            if (row == null) {
+                missing(rig, each.place(), each.atNanos(), leftOut, missing, outcome);
+            } else if (each.code() == StubFrames.COMPLETED && AuditRig.narrow(row.version())
+                    || each.code() != code(row.answer())) {
+                outcome.misattributed++;
+                outcome.wrong.add(String.format("%016x was answered %d by %s, its record says %s", each.id(),
+                        each.code(), AuditRig.name(each.place()), row));
+            }
+        }
+        for (Applied each : rig.applied) {
+            Long version = begun.get(new At(each.place(), each.id()));
+            if (version == null) {
+                missing(rig, each.place(), each.atNanos(), leftOut, missing, outcome);
+                continue;
+            }
+            if (AuditRig.narrow(version)) {
+                outcome.misattributed++;
+                outcome.wrong.add(String.format("%016x was begun by %s, by version %d that denies it", each.id(),
+                        AuditRig.name(each.place()), version));
+            }
+            for (Confirmed floor : rig.confirmed) {
+                if (version < floor.floor()) {
+                    long late = (each.atNanos() - floor.atNanos()) / 1_000_000 - AuditRig.LEASE_MS;
+                    outcome.fenceOverLeaseMs = Math.max(outcome.fenceOverLeaseMs, late);
+                    if (late > 0) {
+                        outcome.belowFloor++;
+                        outcome.wrong.add(AuditRig.name(each.place()) + " began version " + version + " " + late
+                                + " ms past the lease of the floor " + floor.floor());
+                    }
+                }
+            }
+        }
+    }
+
+    private static int code(int answer) {
+        return switch (answer) {
+            case 1 -> StubFrames.COMPLETED;
+            case 2 -> StubFrames.DENIED;
+            case 3 -> StubFrames.TERMINATED;
+            default -> 0;
+        };
+    }
+
+    /** It may lie in the tail of a process that was killed, or be one of those that the record says it left out. */
+    private static void missing(AuditRig rig, int place, long at, Set<Integer> leftOut, Map<Integer, Long> missing,
+            Outcome outcome) {
+        for (Gone each : rig.gone) {
+            long before = (each.atNanos() - at) / 1_000_000;
+            // A torn end takes one block more, which may hold what was noted for a whole flush before.
+            if (each.place() == place && before <= TAIL_MS + (each.torn() ? 2 * AuditRig.FLUSH_MS : 0)
+                    && before > -1_000) {
+                return;
+            }
+        }
+        if (leftOut.contains(place) && missing.merge(place, 1L, Long::sum) <= outcome.leftOut) {
+            return;
+        }
+        outcome.unaccounted++;
+        outcome.wrong.add("not in the record of " + AuditRig.name(place) + ", " + (at - rig.gone.stream()
+                .filter(each -> each.place() == place).mapToLong(Gone::atNanos).max().orElse(at)) / 1_000_000
+                + " ms after it last went");
+    }
+
+    /** A folder of its own for a play. */
+    public static Path folder() throws IOException {
+        return Files.createTempDirectory("vetchrill-audit");
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/vetchrill/tool/AuditCommand.java
@@ -0,0 +1,196 @@
+package vetchrill.tool;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Instant;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import vetchrill.audit.HybridTime;
+import vetchrill.audit.Row;
+import vetchrill.auditing.Fleetwide;
+import vetchrill.auditing.History;
+import vetchrill.protocol.DeploymentReader;
+
+@Command(name = "audit", mixinStandardHelpOptions = true,
+        description = "Read the records of all instances, dead ones too: who decided what, by which version.",
+        subcommands = {AuditCommand.Collect.class, AuditCommand.Verify.class, AuditCommand.Who.class,
+            AuditCommand.Timeline.class, AuditCommand.Stragglers.class})
+final class AuditCommand {
+    private AuditCommand() {
+    }
+
+    private static String when(long hybrid) {
+        return Instant.ofEpochMilli(HybridTime.millis(hybrid)).toString();
+    }
+
+    /** What all of them ask for. */
+    abstract static class Reading implements Callable<Integer> {
+        @Option(names = "--json", description = "A JSON object a line instead of text.")
+        boolean json;
+
+        Fleetwide fleet(List<Path> folders) throws IOException {
+            for (Path each : folders) {
+                if (!Files.isDirectory(each)) {
+                    throw new BadUse("FOLDER is " + each + ", which is none");
+                }
+            }
+            Fleetwide fleet = new Fleetwide(folders);
+            if (fleet.histories.isEmpty()) {
+                throw new BadUse("no record is in " + folders);
+            }
+            return fleet;
+        }
+
+        void line(String text, Object... keysAndValues) {
+            if (!json) {
+                System.out.println(text);
+                return;
+            }
+            var node = DeploymentReader.JSON.createObjectNode();
+            for (int i = 0; i < keysAndValues.length; i += 2) {
+                node.putPOJO(keysAndValues[i].toString(), keysAndValues[i + 1]);
+            }
+            System.out.println(node);
+        }
+
+        /** Of rows as {@code who} and {@code timeline} print them. */
+        void told(Fleetwide.Told each) {
+            Row row = each.row();
+            String answer = row.kind() != Row.Kind.OVER ? "" : switch (row.answer()) {
+                case 1 -> " completed";
+                case 2 -> " denied";
+                case 3 -> " terminated";
+                default -> " caller left";
+            };
+            line(String.format("%s %-12s life %016x %-8s version %d%s %s %s", when(row.hybrid()), each.name(),
+                    each.life(), row.kind(), row.version(), answer, row.text(), row.more()).stripTrailing(),
+                    "time", when(row.hybrid()), "hybrid", row.hybrid(), "instance", each.name(), "life",
+                    String.format("%016x", each.life()), "kind", row.kind().name(), "id",
+                    String.format("%016x", row.id()), "version", row.version(), "answer", answer.strip(), "text",
+                    row.text(), "more", row.more());
+        }
+    }
+
+    @Command(name = "collect", mixinStandardHelpOptions = true,
+            description = "Copy the records of several folders into one, a folder for each, as they are.")
+    static final class Collect implements Callable<Integer> {
+        @Parameters(paramLabel = "FOLDER", arity = "1..*")
+        private List<Path> folders;
+
+        @Option(names = "--to", required = true, paramLabel = "FOLDER", description = "Must not be there yet.")
+        private Path to;
+
+        @Override
+        public Integer call() throws IOException {
+            if (Files.exists(to)) {
+                throw new BadUse("--to is " + to + ", which is there already");
+            }
+            long files = 0;
+            int number = 0;
+            for (History each : History.below(folders)) {
+                Path into = to.resolve(String.format("%03d-%s", number++, each.name));
+                Files.createDirectories(into);
+                try (var all = Files.list(each.folder)) {
+                    for (Path file : all.filter(path -> path.getFileName().toString().startsWith(each.name + "-")
+                            && path.toString().endsWith(".audit")).toList()) {
+                        Files.copy(file, into.resolve(file.getFileName()), StandardCopyOption.COPY_ATTRIBUTES);
+                        files++;
+                    }
+                }
+            }
+            System.out.printf("collected: records=%d files=%d%n", number, files);
+            return 0;
+        }
+    }
+
+    @Command(name = "verify", mixinStandardHelpOptions = true,
+            description = "Is each record whole, and what the others were told of it? Exit code 1 where not.")
+    static final class Verify extends Reading {
+        @Parameters(paramLabel = "FOLDER", arity = "1..*", description = "Looked through with all below.")
+        private List<Path> folders;
+
+        @Override
+        public Integer call() throws IOException {
+            Fleetwide fleet = fleet(folders);
+            fleet.read(null);
+            long rows = 0;
+            long leftOut = 0;
+            int wrong = 0;
+            for (History each : fleet.histories) {
+                rows += each.rows;
+                leftOut += each.leftOut;
+                wrong += each.wrong.size();
+                line(String.format("%-12s %8d rows, blocks %d to %d, %d lives, %d ended in order, %d left out, "
+                        + "%d octets torn", each.name, each.rows, each.first(), each.next() - 1, each.lives, each.ends,
+                        each.leftOut, each.torn), "instance", each.name, "rows", each.rows, "lives", each.lives,
+                        "ended", each.ends, "left_out", each.leftOut, "torn", each.torn, "wrong", each.wrong);
+                if (!json) {
+                    each.wrong.forEach(what -> System.out.println("  " + what));
+                }
+            }
+            List<String> forks = fleet.forks();
+            forks.forEach(each -> line("fork: " + each, "fork", each));
+            System.out.printf("verify: records=%d rows=%d left_out=%d wrong=%d forks=%d%n", fleet.histories.size(),
+                    rows, leftOut, wrong, forks.size());
+            return wrong + forks.size() == 0 ? 0 : 1;
+        }
+    }
+
+    @Command(name = "who", mixinStandardHelpOptions = true,
+            description = "Which instances decided an exchange, when and by which version. Exit code 1 for none.")
+    static final class Who extends Reading {
+        @Parameters(index = "0", paramLabel = "ID", description = "16 hexadecimal digits, as its stub sent them.")
+        private String id;
+
+        @Parameters(index = "1..*", paramLabel = "FOLDER", arity = "1..*")
+        private List<Path> folders;
+
+        @Override
+        public Integer call() throws IOException {
+            if (!id.matches("[0-9a-fA-F]{16}")) {
+                throw new BadUse("ID is " + id + ", should be 16 hexadecimal digits");
+            }
+            List<Fleetwide.Told> all = fleet(folders).who(Long.parseUnsignedLong(id, 16));
+            all.forEach(this::told);
+            return all.isEmpty() ? 1 : 0;
+        }
+    }
+
+    @Command(name = "timeline", mixinStandardHelpOptions = true,
+            description = "Lives, versions taken and what staff was told, of all instances in hybrid time.")
+    static final class Timeline extends Reading {
+        @Parameters(paramLabel = "FOLDER", arity = "1..*")
+        private List<Path> folders;
+
+        @Override
+        public Integer call() throws IOException {
+            fleet(folders).timeline().forEach(this::told);
+            return 0;
+        }
+    }
+
+    @Command(name = "stragglers", mixinStandardHelpOptions = true,
+            description = "Who began exchanges under a floor after it was confirmed, and until when. A lease long is "
+                    + "what is promised; by hybrid time, so that a clock that stepped shows as well.")
+    static final class Stragglers extends Reading {
+        @Parameters(paramLabel = "FOLDER", arity = "1..*")
+        private List<Path> folders;
+
+        @Override
+        public Integer call() throws IOException {
+            for (Fleetwide.Below each : fleet(folders).stragglers()) {
+                line(String.format(Locale.ROOT, "%-12s began %d under the floor %d, the last %d ms after it was "
+                        + "confirmed at %s", each.name(), each.count(), each.floor(), each.last() - each.confirmed(),
+                        Instant.ofEpochMilli(each.confirmed())), "instance", each.name(), "floor", each.floor(),
+                        "count", each.count(), "last_ms", each.last() - each.confirmed());
+            }
+            return 0;
+        }
+    }
+}
--- a/lab/src/main/java/vetchrill/tool/ServeCommand.java
+++ b/lab/src/main/java/vetchrill/tool/ServeCommand.java
@@ -4,21 +4,20 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import vetchrill.audit.AuditTerms;
 import vetchrill.capture.CaptureOrder;
 import vetchrill.capture.CaptureWriter;
-import sun.misc.Signal;
 import vetchrill.hcl.Block;
+import vetchrill.peering.Beside;
 import vetchrill.peering.PeersOrder;
-import vetchrill.peers.Peering;
+import vetchrill.peering.VersionsOrder;
 import vetchrill.program.Serve;
 import vetchrill.protocol.DeploymentReader;
-import vetchrill.transport.Limits;
 
 @Command(name = "serve", mixinStandardHelpOptions = true,
         description = "Be one instance on sockets, as GW_CONFIG says, until SIGTERM. An operator's file may switch on "
@@ -28,35 +27,30 @@
             description = "The operator's own file (HCL); see deploy/operator.hcl.")
     private Path operator;
 
-    /** What peers may take: some hundred connections, and words that wait. */
-    private static final long PEER_MEMORY = 64L << 20;
-    private static final int PEER_DESCRIPTORS = 512;
+    @Option(names = "--rigged", hidden = true, description = "A file by which a rig steps the clock or fills the disk.")
+    private Path rigged;
 
     @Override
     public Integer call() throws IOException {
         System.setProperty(ToolLog.TARGET, "out");
-        CaptureOrder order = null;
-        PeersOrder peers = null;
-        if (operator != null) {
-            Block root = Block.read(operator);
-            order = CaptureOrder.in(root);
-            peers = PeersOrder.in(root);
-            root.check();
+        if (operator == null) {
+            return Serve.run(System.getenv());
         }
-        CaptureWriter recorder = order == null ? null : recorder(order);
-        if (peers != null) {
-            peering(peers).start();
-        }
-        return Serve.run(System.getenv(), recorder);
-    }
-
-    /** Another process under its name ends this one as the notice to leave does: nothing that is held is lost. */
-    private static Peering peering(PeersOrder order) throws IOException {
         JsonNode told = told();
-        SecureRandom chance = new SecureRandom();
-        return new Peering(order.pace, told == null ? "?" : name(told), order.zone, order.listen, order.others,
-                chance.nextLong() & Long.MAX_VALUE, chance.nextLong(), new Limits(PEER_MEMORY, PEER_DESCRIPTORS),
-                () -> System.nanoTime() / 100_000, () -> Signal.raise(new Signal("TERM")));
+        String name = told == null ? "?" : name(told);
+        Block root = Block.read(operator);
+        CaptureOrder capture = CaptureOrder.in(root);
+        PeersOrder peers = PeersOrder.in(root);
+        VersionsOrder.Order versions = VersionsOrder.versions(root, peers, name);
+        AuditTerms audit = VersionsOrder.audit(root);
+        root.check();
+        if (told == null || !told.path("settings").isObject()) {
+            // The start tells what is wrong with it.
+            return Serve.run(System.getenv());
+        }
+        CaptureWriter recorder = capture == null ? null : recorder(capture, told);
+        Beside beside = new Beside(name, told, peers, versions, audit, rigged);
+        return Serve.run(System.getenv(), Recorders.both(beside.audit, recorder), beside.clock, beside);
     }
 
     private static String name(JsonNode told) {
@@ -74,11 +68,7 @@
         }
     }
 
-    private static CaptureWriter recorder(CaptureOrder order) throws IOException {
-        JsonNode told = told();
-        if (told == null || !told.path("settings").isObject()) {
-            return null;
-        }
+    private static CaptureWriter recorder(CaptureOrder order, JsonNode told) throws IOException {
         Map<String, String> provenance = new LinkedHashMap<>();
         provenance.put("name", name(told));
         provenance.put("started", Long.toString(System.currentTimeMillis()));
--- a/peers/src/main/java/vetchrill/peers/PeerFrames.java
+++ b/peers/src/main/java/vetchrill/peers/PeerFrames.java
@@ -10,6 +10,11 @@
     static final int WORD = 128;
     /** From a tool: what do you hold? Answered by a WORD with all of it. */
     static final int ASK = 129;
+    /** What instances say of versions, as {@link Sayings} writes it. */
+    static final int SAYING = 130;
+    /** From a tool: an order in JSON, answered by ORDERED. */
+    static final int ORDER = 131;
+    static final int ORDERED = 132;
     private static final int HEAD = 9;
     private static final System.Logger LOG = System.getLogger("vetchrill.peers");
 
@@ -18,6 +23,10 @@
 
         void asked();
 
+        void said(Sayings.Envelope envelope) throws IOException;
+
+        void ordered(byte[] order) throws IOException;
+
         void ended();
     }
 
@@ -58,6 +67,10 @@
                 taker.word(Words.read(buf, from + HEAD, length + 4 - HEAD));
             } else if (type == ASK) {
                 taker.asked();
+            } else if (type == SAYING) {
+                taker.said(Sayings.read(buf, from + HEAD, length + 4 - HEAD));
+            } else if (type == ORDER) {
+                taker.ordered(java.util.Arrays.copyOfRange(buf, from + HEAD, from + 4 + length));
             } else {
                 throw new IOException("a frame of type " + type);
             }
--- a/peers/src/main/java/vetchrill/peers/PeerStatus.java
+++ b/peers/src/main/java/vetchrill/peers/PeerStatus.java
@@ -15,18 +15,27 @@
 
     /** A word with all of it, whose number is how far the instance distrusts itself. */
     public static Word of(InetSocketAddress address) throws IOException {
+        byte[] payload = ask(address, PeerFrames.ASK, new byte[0]);
+        return Words.read(payload, 0, payload.length);
+    }
+
+    /** An order in JSON, and its answer. */
+    public static byte[] order(InetSocketAddress address, byte[] order) throws IOException {
+        return ask(address, PeerFrames.ORDER, order);
+    }
+
+    private static byte[] ask(InetSocketAddress address, int type, byte[] asked) throws IOException {
         try (Socket socket = new Socket()) {
             socket.connect(address, PATIENCE_MS);
             socket.setSoTimeout(PATIENCE_MS);
-            socket.getOutputStream().write(PeerFrames.frame(PeerFrames.ASK, new byte[0]));
+            socket.getOutputStream().write(PeerFrames.frame(type, asked));
             DataInputStream in = new DataInputStream(socket.getInputStream());
             int length = in.readInt();
             if (length < 5 || length > Words.LONGEST) {
                 throw new IOException(address + " answers what is no word");
             }
             in.readNBytes(5);
-            byte[] payload = in.readNBytes(length - 5);
-            return Words.read(payload, 0, payload.length);
+            return in.readNBytes(length - 5);
         }
     }
 }
--- a/peers/src/main/java/vetchrill/peers/Peering.java
+++ b/peers/src/main/java/vetchrill/peers/Peering.java
@@ -40,6 +40,8 @@
     private final Members members;
     private final LongSupplier clock;
     private final Runnable replaced;
+    /** Null where no versions are agreed on. */
+    private final Agreement agreement;
     private final Listener listener;
     private final Workers readers;
     private final Workers writers;
@@ -55,7 +57,11 @@
      */
     public Peering(Pace pace, String name, String zone, InetSocketAddress listen,
             Map<String, InetSocketAddress> others, long nonce, long seed, Limits limits, LongSupplier clock,
-            Runnable replaced) throws IOException {
+            Runnable replaced, Agreement agreement) throws IOException {
+        this.agreement = agreement;
+        if (agreement != null) {
+            agreement.begin(this::postSurely, this::say, limits.threadStack);
+        }
         this.limits = limits;
         this.pace = pace;
         this.clock = clock;
@@ -67,7 +73,16 @@
         listener = new Listener(listen, limits, this::accepted);
     }
 
+    private void say(String to, byte[] saying) {
+        if (outs.containsKey(to)) {
+            outs.get(to).toSend.offer(PeerFrames.frame(PeerFrames.SAYING, saying));
+        }
+    }
+
     public void start() {
+        if (agreement != null) {
+            agreement.start();
+        }
         listener.start();
         outs.values().forEach(out -> Resources.daemon("to-" + out.name, out::keep, limits.threadStack).start());
         Resources.daemon("peers", this::run, limits.threadStack * 2L).start();
@@ -83,10 +98,19 @@
         inputs.offer(input);
     }
 
+    private void postSurely(Runnable input) {
+        try {
+            inputs.put(input);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void run() {
         try {
             while (true) {
-                long wait = members.wakeAt() - clock.getAsLong();
+                long at = agreement == null ? members.wakeAt() : Math.min(members.wakeAt(), agreement.wakeAt());
+                long wait = at - clock.getAsLong();
                 Runnable input = wait > 0 ? inputs.poll(wait * 100, TimeUnit.MICROSECONDS) : inputs.poll();
                 members.time(clock.getAsLong());
                 for (int i = 0; input != null; i++) {
@@ -96,6 +120,9 @@
                 while (members.next(host)) {
                     continue;
                 }
+                if (agreement != null) {
+                    agreement.pump();
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -149,6 +176,22 @@
                 });
             }
 
+            @Override
+            public void said(Sayings.Envelope envelope) throws IOException {
+                if (agreement == null) {
+                    throw new IOException("a saying on versions, which are not agreed on here");
+                }
+                post(() -> agreement.heard(envelope));
+            }
+
+            @Override
+            public void ordered(byte[] order) throws IOException {
+                if (agreement == null) {
+                    throw new IOException("an order on versions, which are not agreed on here");
+                }
+                post(() -> connection.send(PeerFrames.frame(PeerFrames.ORDERED, agreement.ordered(order))));
+            }
+
             @Override
             public void ended() {
                 connection.abort();
--- a/peers/src/main/java/vetchrill/versions/Version.java
+++ b/peers/src/main/java/vetchrill/versions/Version.java
@@ -24,7 +24,8 @@
         }
     }
 
-    public static final int LARGEST = 1 << 20;
+    /** So that an order with it fits into one frame. */
+    public static final int LARGEST = 128 << 10;
     private static final int MOST_STAGES = 32;
 
     public Version {
