A lease is looked at once more as a command is written; a dead way to a peer is opened anew

The command is now looked at on the writer's thread, right before it is written (Connection.send with a condition).

A connection that ended while it was opened set the way to null first and to the dead connection after that (Peering.Out.dial), so everything sent there was lost from then on. It is told of before it is read now, and only itself unsets it.

--- a/instance/src/main/java/vetchrill/routing/Admit.java
+++ b/instance/src/main/java/vetchrill/routing/Admit.java
@@ -30,8 +30,8 @@
     /** The version by which is decided what arrives, and its groups; null while that is what was told at start. */
     private long version;
     private List<EndpointGroup> groups;
-    private long floor;
-    private long leasedUntil = Long.MAX_VALUE;
+    private volatile long floor;
+    private volatile long leasedUntil = Long.MAX_VALUE;
     /** Decided to be begun in time, and not asked for since the lease ran out in between. */
     int heldBack;
     /** The oldest that an exchange was when it came to the decision thread, since the last summary. */
@@ -76,7 +76,15 @@
         }
     }
 
-    /** Looked at once more as a run is asked for: the process may have stood still since that was decided. */
+    /** Whether what is begun hangs on a word of others at all. */
+    boolean leased() {
+        return floor > 0 || leasedUntil != Long.MAX_VALUE;
+    }
+
+    /**
+     * Looked at once more as a run is asked for, and as the command is written: the process may have stood still since
+     * that was decided. On any thread.
+     */
     boolean mayBegin(Open ex) {
         return ex.version >= floor && (leasedUntil == Long.MAX_VALUE || clock.now() < leasedUntil);
     }
--- a/instance/src/main/java/vetchrill/transport/Connection.java
+++ b/instance/src/main/java/vetchrill/transport/Connection.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
 /**
  * A blocking pipe with a reader for as long as it lives, and a writer while there is something to write: so a peer
@@ -32,7 +33,8 @@
     private final Job.Runner writers;
     private final AtomicLong unsentInAll;
     private final AtomicInteger unsent = new AtomicInteger();
-    private final LinkedBlockingQueue<byte[]> toSend = new LinkedBlockingQueue<>();
+    /** Messages, or such that are looked at again before they go out. */
+    private final LinkedBlockingQueue<Object> toSend = new LinkedBlockingQueue<>();
     private final AtomicBoolean writing = new AtomicBoolean();
     private final AtomicBoolean gone = new AtomicBoolean();
     private final Runnable closed;
@@ -71,13 +73,28 @@
         }
     }
 
+    /**
+     * The same for one that must not go out once {@code still} no longer holds: that is asked at the last moment, on
+     * the writer's thread, since this process may have stood still after it was given; {@code dropped} is run instead.
+     */
+    public void send(byte[] message, BooleanSupplier still, Runnable dropped) {
+        if (!gone.get()) {
+            unsent.addAndGet(message.length);
+            unsentInAll.addAndGet(message.length);
+            give(new Guarded(message, still, dropped));
+        }
+    }
+
+    private record Guarded(byte[] message, BooleanSupplier still, Runnable dropped) {
+    }
+
     /** Counted once, whichever of the writer and an abort beside it comes first. */
     private void sent(int bytes) {
         int before = unsent.getAndUpdate(all -> Math.max(0, all - bytes));
         unsentInAll.addAndGet(-Math.min(before, bytes));
     }
 
-    private void give(byte[] message) {
+    private void give(Object message) {
         toSend.add(message);
         if (!writing.getAndSet(true)) {
             writers.give(new Writing());
@@ -116,12 +133,25 @@
         @Override
         public boolean step() {
             try {
-                byte[] message = toSend.poll();
+                Object next = toSend.poll();
                 int filled = 0;
                 int left = 0;
                 // What waits already goes out in one write, for each write costs a switch on a shared core.
-                while (message != null && message != END) {
-                    byte[] after = toSend.poll();
+                while (next != null && next != END) {
+                    Object after = toSend.poll();
+                    if (next instanceof Guarded guarded) {
+                        write(together, filled);
+                        filled = 0;
+                        left += guarded.message.length;
+                        if (guarded.still.getAsBoolean()) {
+                            write(guarded.message, guarded.message.length);
+                        } else {
+                            guarded.dropped.run();
+                        }
+                        next = after;
+                        continue;
+                    }
+                    byte[] message = (byte[]) next;
                     boolean alone = filled == 0 && (after == null || after == END);
                     if (alone || filled + message.length > TOGETHER) {
                         write(together, filled);
@@ -135,11 +165,11 @@
                         filled += message.length;
                     }
                     left += message.length;
-                    message = after;
+                    next = after;
                 }
                 write(together, filled);
                 sent(left);
-                if (message == END) {
+                if (next == END) {
                     abort();
                     return false;
                 }
--- a/instance/src/test/java/vetchrill/control/RulesTest.java
+++ b/instance/src/test/java/vetchrill/control/RulesTest.java
@@ -198,4 +198,37 @@
         assertFalse(s.decide().contains("call b"), "the given-up call still lingers below");
         assertTrue(s.pass(300 * MS).contains("call b"));
     }
+
+    /** What waits for its turn under an older version is not begun any more, what came under a newer one is. */
+    public void nothingIsBegunUnderAFloor() {
+        Story s = new Story();
+        s.told.cores = 1;
+        s.arrives("runs", s.read);
+        s.decide();
+        s.arrive(3, "old", s.read);
+        s.controller().leased(2, 2, Long.MAX_VALUE, s.now);
+        Exchange fresh = s.exchange("new", s.read);
+        fresh.version = 2;
+        s.controller().arrived(fresh, s.now);
+        List<String> acts = s.decide();
+        assertEquals(acts.stream().filter("deny old"::equals).count(), 3, acts.toString());
+        assertFalse(acts.contains("begin old") || acts.contains("deny new"), acts.toString());
+        assertTrue(s.longestAwayAsked > 0);
+    }
+
+    /** A lease runs out without a word: what comes is denied with a time, health goes out and comes back with it. */
+    public void withoutALeaseNothingIsBegunAndHealthIsBad() {
+        Story s = new Story();
+        s.controller().leased(0, 0, s.now + SECOND, s.now);
+        s.arrives("in time", s.read);
+        List<String> before = s.decide();
+        assertTrue(before.contains("begin in time") && before.contains("well"), before.toString());
+        assertTrue(s.pass(1200 * MS).contains("ill"));
+        s.arrives("late", s.once);
+        assertTrue(s.decide().contains("deny late"));
+        s.controller().leased(0, 0, s.now + SECOND, s.now);
+        s.arrives("again", s.once);
+        List<String> after = s.decide();
+        assertTrue(after.contains("well") && after.contains("begin again"), after.toString());
+    }
 }
--- a/lab/src/main/java/vetchrill/standin/AuditRig.java
+++ b/lab/src/main/java/vetchrill/standin/AuditRig.java
@@ -171,8 +171,8 @@
         for (int i = 0; i < keepers; i++) {
             file.append(i > 0 ? ", " : "").append('"').append(name(i)).append('"');
         }
-        file.append("]\n  lease_ms = " + LEASE_MS + "\n  every_ms = 100\n  behind_ms = 3000\n}\naudit {\n  directory = \"")
-                .append(home(place).resolve("audit")).append("\"\n  flush_ms = " + FLUSH_MS
+        file.append("]\n  lease_ms = " + LEASE_MS + "\n  every_ms = 100\n  behind_ms = 3000\n}\n")
+                .append("audit {\n  directory = \"").append(home(place).resolve("audit")).append("\"\n  flush_ms = " + FLUSH_MS
                 + "\n  segment_mb = 0.05\n  most_mb = 200\n}\n");
         Path operator = home(place).resolve("operator.hcl");
         Files.writeString(operator, file);
--- a/peers/src/main/java/vetchrill/audit/AuditWriter.java
+++ b/peers/src/main/java/vetchrill/audit/AuditWriter.java
@@ -99,7 +99,7 @@
     private long nextBlock;
     private boolean failing;
 
-    /** {@code what} says what the process is; it stands at the begin of its life. Throws where the folder is of no use. */
+    /** {@code what} says what the process is, at the begin of its life. Throws where the folder is of no use. */
     public AuditWriter(AuditTerms terms, String name, long nonce, String what, HybridTime time, Disk disk)
             throws IOException {
         this.terms = terms;
--- a/peers/src/main/java/vetchrill/audit/Row.java
+++ b/peers/src/main/java/vetchrill/audit/Row.java
@@ -32,7 +32,7 @@
         OVER,
         /** Something that staff was told: {@code text} which, {@code more} of whom and why. */
         EVENT,
-        /** Another instance, {@code text}, says that its record has come to block {@code id} with digest {@code more}. */
+        /** Another instance, {@code text}, says that its record has come to block {@code id}, digest {@code more}. */
         HEAD,
         /** So many rows (id) found no room since the last of these. */
         LEFT_OUT,
--- a/peers/src/main/java/vetchrill/peers/Peering.java
+++ b/peers/src/main/java/vetchrill/peers/Peering.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import vetchrill.members.Members;
 import vetchrill.members.News;
@@ -156,8 +158,10 @@
         }
     };
 
-    private Connection open(Pipe pipe, Runnable ended) {
+    /** {@code made} is told of it before anything is read, as it may end at once; {@code ended} is told of that. */
+    private void open(Pipe pipe, Consumer<Connection> made, Consumer<Connection> ended) {
         Connection connection = new Connection(pipe, limits, readers, writers, unsent, () -> { });
+        made.accept(connection);
         connection.start(new PeerFrames(new PeerFrames.Taker() {
             @Override
             public void word(Word word) {
@@ -196,14 +200,13 @@
             public void ended() {
                 connection.abort();
                 post(() -> heardOn.values().removeIf(each -> each == connection));
-                ended.run();
+                ended.accept(connection);
             }
         }), Words.LONGEST);
-        return connection;
     }
 
     private void accepted(Pipe pipe) {
-        open(pipe, () -> { });
+        open(pipe, made -> { }, ended -> { });
     }
 
     /** The way to one peer. */
@@ -211,7 +214,8 @@
         final String name;
         final InetSocketAddress address;
         final LinkedBlockingQueue<byte[]> toSend = new LinkedBlockingQueue<>(WAITING);
-        private volatile Connection connection;
+        /** Null while there is none. */
+        private final AtomicReference<Connection> connection = new AtomicReference<>();
 
         Out(String name, InetSocketAddress address) {
             this.name = name;
@@ -222,7 +226,7 @@
             try {
                 while (true) {
                     byte[] frame = toSend.take();
-                    Connection now = connection;
+                    Connection now = connection.get();
                     if (now == null) {
                         now = dial();
                     }
@@ -238,10 +242,8 @@
         private Connection dial() {
             try {
                 Pipe pipe = InterpreterLink.Dial.onSocket(address, Math.max(limits.firstConnect, pace.period()));
-                Connection[] its = new Connection[1];
-                its[0] = open(pipe, () -> connection = null);
-                connection = its[0];
-                return its[0];
+                open(pipe, made -> connection.set(made), ended -> connection.compareAndSet(ended, null));
+                return connection.get();
             } catch (IOException e) {
                 // What waited for it would be late.
                 toSend.clear();
--- a/peers/src/main/java/vetchrill/versions/Rollout.java
+++ b/peers/src/main/java/vetchrill/versions/Rollout.java
@@ -5,8 +5,8 @@
 import java.util.Locale;
 
 /**
- * Whether those that took a version fare worse than those that did not, told from chance. Exchanges of one instance come
- * and fail in bunches, so an instance counts as one observation however many exchanges it had: the spread between
+ * Whether those that took a version fare worse than those that did not, told from chance. Exchanges of one instance
+ * come and fail in bunches, so an instance counts as one observation however many exchanges it had: the spread between
  * instances, not the number of exchanges, says how far two means may lie apart. Where that spread is less than that of
  * independent draws, the latter counts.
  */
@@ -53,7 +53,8 @@
             double drawn = (all * (1 - all) + 1 / exchanges) * (first.size() + second.size()) / exchanges;
             double error = Math.sqrt(Math.max(spread, drawn) * (1.0 / first.size() + 1.0 / second.size()));
             if (a - b > WORSE && a - b > (ERRORS + ERRORS_OF_FEW / free) * error) {
-                return String.format(Locale.ROOT, "%s %.1f%% of their exchanges on %d that took it, %.1f%% on %d others",
+                return String.format(Locale.ROOT,
+                        "%s %.1f%% of their exchanges on %d that took it, %.1f%% on %d others",
                         KINDS.get(kind), 100 * a, first.size(), 100 * b, second.size());
             }
         }
