--- a/fuzz/src/main/java/vetchrill/fuzz/chain/LifeWalk.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/LifeWalk.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import vetchrill.fuzz.Finding;
+import vetchrill.peersim.VersionsWalk;
 
 /**
  * The life of one mutating exchange in every order of what can happen to it, to a depth: each path is walked on the
@@ -28,12 +29,7 @@
 
     /** One path by its number; throws a Finding that names its steps. */
     public void walk(int depth, long number) {
-        Step[] path = new Step[depth];
-        long rest = number;
-        for (int i = 0; i < depth; i++) {
-            path[i] = STEPS[(int) (rest % STEPS.length)];
-            rest /= STEPS.length;
-        }
+        Step[] path = VersionsWalk.path(STEPS, depth, number);
         try {
             walk(path);
         } catch (Finding e) {
--- a/fuzz/src/main/java/vetchrill/fuzz/targets/VersionsTarget.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/VersionsTarget.java
@@ -82,7 +82,7 @@
                     world.fill(at, b % 3 == 0);
                 }
             }
-            case 21 -> world.twin(at);
+            case 21 -> world.twin(at, b ^ c);
             case 22 -> world.spoilt = b % 3 / 4.0;
             case 13, 14 -> world.publish(at, 1 + b % 6, content(b, c), c % 16 == 15 ? "b".repeat(64)
                     : c % 16 == 14 ? VersionsWorld.TEXT : "", c % 5 == 4 ? List.of(new Stage("", 0.5), new Stage("", 1))
@@ -106,6 +106,21 @@
         return content;
     }
 
+    /** A keeper lives twice: one is taught by three, the other is still heard by two who did not hear of that. */
+    private static int[][] twice() {
+        List<int[]> steps = new ArrayList<>(List.of(new int[] {21, 1, 0b011001, 0}, new int[] {19, 0, 255, 0}));
+        int[][] apart = {{4, 0}, {4, 3}, {4, 1}, {2, 0}, {2, 3}, {5, 0}, {5, 3}};
+        for (int[] pair : apart) {
+            steps.add(new int[] {6, pair[0], Math.floorMod(pair[1] - pair[0] - 1, 6), 0});
+            steps.add(new int[] {6, pair[1], Math.floorMod(pair[0] - pair[1] - 1, 6), 0});
+        }
+        steps.add(new int[] {13, 0, 0, 0});
+        steps.add(new int[] {19, 0, 20, 0});
+        steps.add(new int[] {15, 0, 0, 0});
+        steps.add(new int[] {20, 0, 0, 40});
+        return steps.toArray(new int[0][]);
+    }
+
     /** The stories that floors are made for, beside those that are drawn. */
     @Override
     public List<byte[]> seeds() {
@@ -127,9 +142,14 @@
             {{8, 0, 4, 0}, {12, 1, 2, 60}, {13, 0, 0, 0}, {19, 0, 3, 0}, {15, 0, 0, 0}, {19, 0, 100, 0}, {2, 1, 0, 0},
                 {8, 0, 1, 0}, {20, 0, 0, 30}},
             // A keeper lives twice, and the one from before goes on answering.
-            {{8, 0, 4, 0}, {13, 0, 0, 0}, {19, 0, 20, 0}, {21, 1, 0, 0}, {19, 0, 80, 0}, {15, 0, 0, 0}, {19, 0, 80, 0},
+            {{8, 0, 4, 0}, {13, 0, 0, 0}, {19, 0, 20, 0}, {21, 1, 1, 0}, {19, 0, 80, 0}, {15, 0, 0, 0}, {19, 0, 80, 0},
                 {8, 0, 1, 0}, {20, 0, 0, 30}},
-            {{8, 0, 4, 0}, {13, 0, 0, 0}, {15, 0, 0, 0}, {19, 0, 20, 0}, {21, 1, 0, 0}, {8, 0, 0, 0}, {20, 0, 0, 30}},
+            {{8, 0, 4, 0}, {13, 0, 0, 0}, {15, 0, 0, 0}, {19, 0, 20, 0}, {21, 1, 1, 0}, {8, 0, 0, 0}, {20, 0, 0, 30}},
+            // Answers to a process come when another has its name.
+            {{13, 0, 5, 4}, {11, 0, 250, 0}, {2, 3, 0, 0}, {19, 0, 60, 0}, {8, 0, 8, 0}, {11, 0, 0, 0}, {13, 0, 0, 0},
+                {19, 0, 4, 0}, {15, 0, 0, 0}, {19, 0, 4, 0}, {2, 3, 0, 0}, {20, 0, 0, 40}},
+            {{11, 0, 250, 0}, {2, 3, 0, 0}, {19, 0, 80, 0}, {8, 0, 8, 0}, {11, 0, 0, 0}, {13, 0, 0, 0},
+                {19, 0, 3, 0}, {15, 0, 0, 0}, {19, 0, 3, 0}, {2, 3, 0, 0}, {20, 0, 0, 40}},
             // Pieces are spoilt on their way.
             {{22, 0, 2, 0}, {13, 0, 0, 7}, {20, 0, 0, 20}},
             // Disks are full, contents large, refused, under one number twice.
@@ -147,6 +167,7 @@
             {{8, 0, 1, 0}, {13, 0, 0, 0}, {19, 0, 10, 0}, {15, 0, 0, 0}, {19, 0, 20, 0}, {8, 0, 3, 0}, {19, 0, 20, 0},
                 {12, 3, 2, 100}, {3, 1, 0, 0}, {8, 0, 1, 0}, {19, 0, 40, 0}, {2, 3, 0, 0}, {8, 0, 9, 0},
                 {20, 0, 0, 40}},
+            twice(),
         };
         for (int i = 0; i < stories.length + ofFive.length; i++) {
             boolean five = i >= stories.length;
--- a/lab/src/main/java/vetchrill/peersim/VersionsWalk.java
+++ b/lab/src/main/java/vetchrill/peersim/VersionsWalk.java
@@ -30,14 +30,20 @@
         return states.size();
     }
 
-    /** One path by its number; throws Broken that names its steps. */
-    public void walk(int depth, long number) {
-        Step[] path = new Step[depth];
+    /** Of all orders of so many steps, the one with that number. */
+    public static <T> T[] path(T[] steps, int depth, long number) {
+        T[] path = Arrays.copyOf(steps, depth);
         long rest = number;
         for (int i = 0; i < depth; i++) {
-            path[i] = STEPS[(int) (rest % STEPS.length)];
-            rest /= STEPS.length;
+            path[i] = steps[(int) (rest % steps.length)];
+            rest /= steps.length;
         }
+        return path;
+    }
+
+    /** One path by its number; throws Broken that names its steps. */
+    public void walk(int depth, long number) {
+        Step[] path = path(STEPS, depth, number);
         try {
             walk(path);
         } catch (VersionsWorld.Broken e) {
--- a/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
+++ b/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
@@ -30,7 +30,7 @@
     }
 
     /** A version and its content, as somebody published it. */
-    private record Published(Version version, byte[] content) {
+    private record Published(Version version, byte[] content, Process by) {
     }
 
     /** One process, and what it may begin by its own word. */
@@ -72,6 +72,7 @@
     private final long[] slow;
     /** Of a name that was not dead as another process came up under it: the one before, with its own disk. */
     private final Process[] ghosts;
+    private final int[] sides;
     public double spoilt;
     /** Lost or went back, and not whole again since. */
     private final boolean[] forgetful;
@@ -107,6 +108,7 @@
         full = new boolean[size];
         slow = new long[size];
         ghosts = new Process[size];
+        sides = new int[size];
         forgetful = new boolean[size];
         processes = new Process[size];
         for (int i = 0; i < size; i++) {
@@ -174,8 +176,11 @@
         return true;
     }
 
-    /** A second process, without a disk, beside one that lives on. Either may get what is sent to the name. */
-    public boolean twin(int place) {
+    /**
+     * A second process, without a disk, beside one that lives on. Each other place has a way to one of the two only, by
+     * its bit.
+     */
+    public boolean twin(int place, int bits) {
         Process before = processes[place];
         if (!before.up || ghosts[place] != null && ghosts[place].up) {
             return false;
@@ -185,6 +190,7 @@
         }
         before.up = true;
         ghosts[place] = before;
+        sides[place] = bits;
         return true;
     }
 
@@ -239,7 +245,7 @@
         at.versions.time(now());
         String wrong = at.versions.publish(version, content);
         if (wrong == null) {
-            published.computeIfAbsent(number, any -> new ArrayList<>()).add(new Published(version, content));
+            published.computeIfAbsent(number, any -> new ArrayList<>()).add(new Published(version, content, at));
             publishedAt.putIfAbsent(number, now());
             faulty();
         }
@@ -313,9 +319,8 @@
                 sayings++;
                 bytes += size(saying);
                 carry(process.place, place, () -> {
-                    Process there = ghosts[place] != null && ghosts[place].up && chance.nextBoolean()
-                            ? ghosts[place] : processes[place];
-                    if (there.up) {
+                    Process there = reached(process.place, place);
+                    if (there.up && reached(place, process.place) == process) {
                         there.waiting.add(spoil(saying));
                         pump(there);
                     }
@@ -384,6 +389,12 @@
         };
     }
 
+    /** The process that stands at that name for whoever speaks from there. */
+    private Process reached(int from, int place) {
+        return ghosts[place] != null && ghosts[place].up && (sides[place] >> from & 1) == 0 ? ghosts[place]
+                : processes[place];
+    }
+
     /** A way that changes octets: nothing that is kept by a digest may suffer from it. */
     private Saying spoil(Saying saying) {
         if (spoilt == 0 || saying.kind() != Saying.Kind.PIECE || saying.piece().bytes().length == 0
@@ -463,6 +474,12 @@
         }
     }
 
+    /** Whether the process of that place would begin an exchange now that is under the floor. */
+    public boolean mayBeginUnder(int place, long floor) {
+        Process at = processes[place];
+        return at.up && now() >= at.pausedUntil && at.taken < floor && at.floor <= at.taken && now() < at.until;
+    }
+
     /** Long enough after the last fault, all know the floor and have what they may have. */
     public void settled() {
         long highest = 0;
@@ -505,7 +522,7 @@
         for (Map.Entry<Long, List<Published>> each : published.entrySet()) {
             long number = each.getKey();
             newest = number;
-            Published one = each.getValue().get(0);
+            Published first = each.getValue().get(0);
             String text = place % 7 == 6 ? OTHER_TEXT : TEXT;
             boolean stopped = false;
             for (Process process : processes) {
@@ -514,11 +531,12 @@
             }
             boolean held = processes[place].versions.versions().stream()
                     .anyMatch(noted -> noted.version().number() == number);
-            boolean had = Arrays.stream(processes).anyMatch(process -> process.taken == number);
-            boolean refused = one.content.length > 0 && one.content[0] == place + 1
-                    || !one.version.text().isEmpty() && !one.version.text().equals(text);
+            boolean had = Arrays.stream(processes).anyMatch(process -> process.taken == number
+                    || each.getValue().stream().anyMatch(one -> one.by == process));
+            boolean refused = first.content.length > 0 && first.content[0] == place + 1
+                    || !first.version.text().isEmpty() && !first.version.text().equals(text);
             if (each.getValue().stream().map(Published::version).map(Version::digest).distinct().count() == 1
-                    && !stopped && held && had && !refused && whole(one.version)) {
+                    && !stopped && held && had && !refused && whole(first.version)) {
                 should = number;
             }
         }
--- a/lab/src/main/java/vetchrill/tool/Vetchrill.java
+++ b/lab/src/main/java/vetchrill/tool/Vetchrill.java
@@ -17,7 +17,8 @@
         synopsisSubcommandLabel = "COMMAND",
         subcommands = {ServeCommand.class, WirehostCommand.class, TryCommand.class, PlanCommand.class,
             CaptureCommand.class, ProveCommand.class, MeasureCommand.class, CostCommand.class,
-            FleetCommand.class, MembersCommand.class, AuditCommand.class},
+            FleetCommand.class, MembersCommand.class, VersionsCommand.class,
+            AuditCommand.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:done, and what was asked about does not hold, or an input on the wire was wrong",
             "2:wrong usage or bad input: one line on standard error for each mistake", "70:the program failed"})
