--- a/lab/src/main/java/vetchrill/tool/VersionsCommand.java
+++ b/lab/src/main/java/vetchrill/tool/VersionsCommand.java
@@ -77,7 +77,7 @@
         long bytes = world.bytes;
         long at = world.now();
         byte[] content = new byte[3_000];
-        Arrays.fill(content, (byte) 100);
+        Arrays.fill(content, (byte) -1);
         world.publish(0, 1, content, "", List.of(new Stage("", 1)), 0);
         world.until(at + TROUBLE / 2);
         long floorAt = world.now();
