A fleet with one keeper serves: it has nobody to be taught by

With one keeper, itself, it waited for answers of others for ever (Floors.recalled is never called), had no lease and denied all. The only keeper remembers from the start.

--- a/lab/src/test/java/vetchrill/peersim/VersionsTest.java
+++ b/lab/src/test/java/vetchrill/peersim/VersionsTest.java
@@ -47,6 +47,19 @@
         assertFalse(world.processes[5].versions.barred());
     }
 
+    /** The only keeper has nobody to ask: it keeps the floor by itself, and all serve. */
+    public void oneKeeperServesAndConfirmsByItself() {
+        VersionsWorld world = world(3, 1, 9);
+        for (VersionsWorld.Process each : world.processes) {
+            assertFalse(each.versions.barred());
+        }
+        world.publish(1, 1, content(1), "", ALL, 0);
+        pass(world, 10_000);
+        assertNull(world.floor(2, 1));
+        pass(world, 10_000);
+        assertEquals(world.processes[2].versions.confirmed(), 1);
+    }
+
     /** Fewer than half of the keepers confirm nothing, and an instance that hears only those goes on for no longer. */
     public void aMinorityOfKeepersConfirmsNothing() {
         VersionsWorld world = world(6, 3, 2);
--- a/peers/src/main/java/vetchrill/versions/Floors.java
+++ b/peers/src/main/java/vetchrill/versions/Floors.java
@@ -56,9 +56,13 @@
             kept = memory.able() ? memory.floor() : 0;
         }
         dirty = false;
-        phase = !keeper ? Phase.NO_KEEPER : memory != null && memory.able() ? Phase.ABLE : Phase.RECALLING;
+        // The only keeper has nobody to be taught by: what its disk lost is lost.
+        boolean only = keeper && terms.keepers().size() == 1;
+        phase = !keeper ? Phase.NO_KEEPER : memory != null && memory.able() || only ? Phase.ABLE : Phase.RECALLING;
         if (phase == Phase.ABLE) {
+            life = Math.max(1, life);
             held.put(name, new Kept(name, life, kept));
+            dirty = memory == null;
         }
     }
 
