Read again: one way into a connection's queue, its bound kept; repetitions taken out

A command that is looked at before it is written went past the bound on what waits for one peer (Connection.send with a condition had its own copy without the check): both go one way now. Send made an object for each run whether or not a lease holds; the digest of the program was taken twice at a start; Chain.take had a case that nobody uses, Versions an event that nothing tells. Options of simulated fleets, folders of the record's commands, a folder in HCL and the simulations' Broken are one each.

--- a/instance/src/main/java/vetchrill/routing/Chain.java
+++ b/instance/src/main/java/vetchrill/routing/Chain.java
@@ -89,11 +89,11 @@
     }
 
     /**
-     * What arrives from one point on is decided by that version: by its groups, told anew, or by those told at start
-     * where {@code told} is null. What came before stays with the version of then. On any thread.
+     * What arrives from one point on is decided by that version: by its groups, told anew. What came before
+     * stays with the version of then. On any thread.
      */
     public void take(long version, DeploymentReader told) {
-        List<EndpointGroup> groups = told == null ? null : facts.retold(told);
+        List<EndpointGroup> groups = facts.retold(told);
         thread.post(() -> admit.take(version, groups));
     }
 
--- a/instance/src/main/java/vetchrill/routing/Send.java
+++ b/instance/src/main/java/vetchrill/routing/Send.java
@@ -85,12 +85,13 @@
         if (recorder != null && ex.appliedOn == 0) {
             recorder.begun(Long.parseUnsignedLong(ex.id, 16), ex.version, ex.groupAt, ex.customer, clock.now());
         }
-        // What was asked for over another link may run: that this question is dropped proves nothing of it.
-        Runnable dropped = ex.appliedOn == 0 ? () -> thread.post(() -> admit.notBegun(ex)) : () -> { };
+        boolean first = ex.appliedOn == 0;
         ex.appliedOn = linkNumber;
         byte[] command = InterpreterLines.apply(ex.id, ex.groupName, ex.body);
         if (admit.leased() && !ex.done) {
-            link.send(command, () -> admit.mayBegin(ex), dropped);
+            // What was asked for over another link may run: that this question is dropped proves nothing of it.
+            link.send(command, () -> admit.mayBegin(ex), first ? () -> thread.post(() -> admit.notBegun(ex))
+                    : () -> { });
         } else {
             link.send(command);
         }
--- a/instance/src/main/java/vetchrill/transport/Connection.java
+++ b/instance/src/main/java/vetchrill/transport/Connection.java
@@ -57,34 +57,34 @@
 
     /** Never waits. What waits for a peer that does not read is bounded: past it the connection is given up. */
     public void send(byte[] message) {
+        send(message, message.length);
+    }
+
+    /**
+     * The same for one that must not go out once {@code still} no longer holds: that is asked at the last moment, on
+     * the writer's thread, since this process may have stood still after it was given; {@code dropped} is run instead.
+     */
+    public void send(byte[] message, BooleanSupplier still, Runnable dropped) {
+        send(new Guarded(message, still, dropped), message.length);
+    }
+
+    private void send(Object message, int size) {
         if (gone.get()) {
             return;
         }
-        int mine = unsent.addAndGet(message.length);
-        long all = unsentInAll.addAndGet(message.length);
+        int mine = unsent.addAndGet(size);
+        long all = unsentInAll.addAndGet(size);
         // The sum guards the heap against many slow peers at once; one that owes little is not made to pay for it.
         if (mine > limits.unsentPerConnection || all > limits.unsentInAll && mine > limits.frame) {
             abort();
         }
         if (gone.get()) {
-            sent(message.length);
+            sent(size);
         } else {
             give(message);
         }
     }
 
-    /**
-     * The same for one that must not go out once {@code still} no longer holds: that is asked at the last moment, on
-     * the writer's thread, since this process may have stood still after it was given; {@code dropped} is run instead.
-     */
-    public void send(byte[] message, BooleanSupplier still, Runnable dropped) {
-        if (!gone.get()) {
-            unsent.addAndGet(message.length);
-            unsentInAll.addAndGet(message.length);
-            give(new Guarded(message, still, dropped));
-        }
-    }
-
     private record Guarded(byte[] message, BooleanSupplier still, Runnable dropped) {
     }
 
--- a/lab/src/main/java/vetchrill/capture/CaptureOrder.java
+++ b/lab/src/main/java/vetchrill/capture/CaptureOrder.java
@@ -18,7 +18,7 @@
     final long flushEvery;
 
     private CaptureOrder(Block block) {
-        directory = directory(block);
+        directory = block.folder("directory");
         zone = block.word("zone");
         kind = block.word("kind");
         String digits = block.word("subject_key");
@@ -32,15 +32,6 @@
         flushEvery = Math.round(block.number("flush_ms", 10, 60_000, 500) * 10);
     }
 
-    private static Path directory(Block block) {
-        try {
-            return Path.of(block.word("directory"));
-        } catch (java.nio.file.InvalidPathException e) {
-            block.mistake("directory", "should be the path of a folder");
-            return Path.of("");
-        }
-    }
-
     /** Null where the file orders no recording. Mistakes are noted in the file and told by its check. */
     public static CaptureOrder in(Block root) {
         if (!root.hasBlock("capture")) {
--- a/lab/src/main/java/vetchrill/hcl/Block.java
+++ b/lab/src/main/java/vetchrill/hcl/Block.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.charset.MalformedInputException;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -228,6 +229,16 @@
         return got == null ? otherwise : (String) got;
     }
 
+    /** The path of a folder, there or not. */
+    public Path folder(String key) {
+        try {
+            return Path.of(word(key));
+        } catch (InvalidPathException e) {
+            mistake(key, "should be the path of a folder");
+            return Path.of("");
+        }
+    }
+
     /** One of the words allowed; the first of them where the key is absent. */
     public String oneOf(String key, String... allowed) {
         String got = word(key, allowed[0]);
--- a/lab/src/main/java/vetchrill/peering/Beside.java
+++ b/lab/src/main/java/vetchrill/peering/Beside.java
@@ -31,6 +31,8 @@
     private final PeersOrder peers;
     private final VersionsOrder.Order versions;
     private final Rigged rigged;
+    /** The digest of the program; empty where nothing asks for it. */
+    private final String text;
     private final HybridTime time;
     private final SecureRandom chance = new SecureRandom();
     private final long nonce = chance.nextLong() & Long.MAX_VALUE;
@@ -47,10 +49,11 @@
         this.versions = versions;
         this.rigged = new Rigged(rigged);
         settings = told.path("settings");
+        text = versions == null && audit == null ? "" : Program.text();
         time = new HybridTime(this.rigged::millis);
         clock = rigged == null ? new Clock() : new Clock(this.rigged::tenths, System::nanoTime);
         this.audit = audit == null ? null : new AuditWriter(audit, name, nonce, "zone "
-                + (peers == null ? "" : peers.zone) + " text " + Program.text() + " policy " + Program.policy()
+                + (peers == null ? "" : peers.zone) + " text " + text + " policy " + Program.policy()
                 + " settings " + Digests.of(settings.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8)),
                 time, this.rigged);
     }
@@ -62,7 +65,7 @@
         }
         LongSupplier tenths = clock::now;
         Agreement agreement = versions == null ? null : new Agreement(versions.terms(), name, peers.zone,
-                Program.text(), nonce, new Store(versions.directory(), rigged), chance.nextLong(), tenths, time, audit,
+                text, nonce, new Store(versions.directory(), rigged), chance.nextLong(), tenths, time, audit,
                 new Held(chain));
         // Another process under its name ends this one as the notice to leave does: nothing that is held is lost.
         peering = new Peering(peers.pace, name, peers.zone, peers.listen, peers.others, nonce, chance.nextLong(),
--- a/lab/src/main/java/vetchrill/peering/VersionsOrder.java
+++ b/lab/src/main/java/vetchrill/peering/VersionsOrder.java
@@ -1,6 +1,5 @@
 package vetchrill.peering;
 
-import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,7 +23,7 @@
         }
         Block block = root.block("versions");
         boolean on = block.flag("on", true);
-        Path directory = path(block, "directory");
+        Path directory = block.folder("directory");
         List<String> keepers = new ArrayList<>(block.words("keepers"));
         double lease = block.number("lease_ms", 100, 600_000, 3_000);
         double every = block.number("every_ms", 10, 60_000, 500);
@@ -61,7 +60,7 @@
             return null;
         }
         Block block = root.block("audit");
-        Path directory = path(block, "directory");
+        Path directory = block.folder("directory");
         int ring = block.whole("ring_rows", 64, 1 << 20, 8_192);
         double flush = block.number("flush_ms", 5, 60_000, 50);
         double segment = block.number("segment_mb", 0.01, 1e4, 16);
@@ -72,13 +71,4 @@
         return block.flag("on", true) ? new AuditTerms(directory, ring, Math.round(flush * 10),
                 (long) (segment * (1 << 20)), (long) (most * (1 << 20))) : null;
     }
-
-    private static Path path(Block block, String key) {
-        try {
-            return Path.of(block.word(key));
-        } catch (InvalidPathException e) {
-            block.mistake(key, "should be the path of a folder");
-            return Path.of("");
-        }
-    }
 }
--- a/lab/src/main/java/vetchrill/peersim/MembersWorld.java
+++ b/lab/src/main/java/vetchrill/peersim/MembersWorld.java
@@ -18,15 +18,6 @@
  * processes that stop, stand still and come back. All is drawn from one seed.
  */
 public final class MembersWorld extends Wires {
-    /** Something that must not be. */
-    public static final class Broken extends RuntimeException {
-        private static final long serialVersionUID = 1;
-
-        Broken(String what) {
-            super(what);
-        }
-    }
-
     /** What an instance holds its peers by. */
     interface Watch {
         void time(long now);
--- a/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
+++ b/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
@@ -20,15 +20,6 @@
  * confirmed to anybody, until when each process may begin what, and what each took in which order.
  */
 public final class VersionsWorld extends Wires {
-    /** Something that must not be. */
-    public static final class Broken extends RuntimeException {
-        private static final long serialVersionUID = 1;
-
-        Broken(String what) {
-            super(what);
-        }
-    }
-
     /** A version and its content, as somebody published it. */
     private record Published(Version version, byte[] content, Process by) {
     }
--- a/lab/src/main/java/vetchrill/peersim/Wires.java
+++ b/lab/src/main/java/vetchrill/peersim/Wires.java
@@ -8,6 +8,15 @@
 
 /** A counted clock, and a network between places that loses, delays, doubles and is cut one way; from one seed. */
 abstract class Wires {
+    /** Something that must not be. */
+    public static final class Broken extends RuntimeException {
+        private static final long serialVersionUID = 1;
+
+        Broken(String what) {
+            super(what);
+        }
+    }
+
     private static final long USUAL_DELAY = 20;
 
     final SplittableRandom chance;
--- a/lab/src/main/java/vetchrill/tool/AuditCommand.java
+++ b/lab/src/main/java/vetchrill/tool/AuditCommand.java
@@ -82,6 +82,16 @@
         }
     }
 
+    /** Those that ask of whole records. */
+    abstract static class OfFolders extends Reading {
+        @Parameters(paramLabel = "FOLDER", arity = "1..*", description = "Looked through with all below.")
+        private List<Path> folders;
+
+        Fleetwide fleet() throws IOException {
+            return fleet(folders);
+        }
+    }
+
     @Command(name = "collect", mixinStandardHelpOptions = true,
             description = "Copy the records of several folders into one, a folder for each, as they are.")
     static final class Collect implements Callable<Integer> {
@@ -116,13 +126,10 @@
 
     @Command(name = "verify", mixinStandardHelpOptions = true,
             description = "Is each record whole, and what the others were told of it? Exit code 1 where not.")
-    static final class Verify extends Reading {
-        @Parameters(paramLabel = "FOLDER", arity = "1..*", description = "Looked through with all below.")
-        private List<Path> folders;
-
+    static final class Verify extends OfFolders {
         @Override
         public Integer call() throws IOException {
-            Fleetwide fleet = fleet(folders);
+            Fleetwide fleet = fleet();
             fleet.read(null);
             long rows = 0;
             long leftOut = 0;
@@ -169,23 +176,17 @@
 
     @Command(name = "timeline", mixinStandardHelpOptions = true,
             description = "Lives, versions taken and what staff was told, of all instances in hybrid time.")
-    static final class Timeline extends Reading {
-        @Parameters(paramLabel = "FOLDER", arity = "1..*")
-        private List<Path> folders;
-
+    static final class Timeline extends OfFolders {
         @Override
         public Integer call() throws IOException {
-            fleet(folders).timeline().forEach(this::told);
+            fleet().timeline().forEach(this::told);
             return 0;
         }
     }
 
     @Command(name = "columns", mixinStandardHelpOptions = true,
             description = "All rows of all records in one Arrow file.")
-    static final class Columns extends Reading {
-        @Parameters(paramLabel = "FOLDER", arity = "1..*")
-        private List<Path> folders;
-
+    static final class Columns extends OfFolders {
         @Option(names = "--to", required = true, paramLabel = "FILE", description = "Must not be there yet.")
         private Path to;
 
@@ -194,23 +195,20 @@
             if (Files.exists(to)) {
                 throw new BadUse("--to is " + to + ", which is there already");
             }
-            System.out.println("columns: rows=" + AuditColumns.write(fleet(folders), to));
+            System.out.println("columns: rows=" + AuditColumns.write(fleet(), to));
             return 0;
         }
     }
 
     @Command(name = "page", mixinStandardHelpOptions = true,
             description = "One HTML page: who decided by which version when, and what staff was told.")
-    static final class Page extends Reading {
-        @Parameters(paramLabel = "FOLDER", arity = "1..*")
-        private List<Path> folders;
-
+    static final class Page extends OfFolders {
         @Option(names = "--to", required = true, paramLabel = "FILE")
         private Path to;
 
         @Override
         public Integer call() throws IOException {
-            Files.writeString(to, AuditPage.of(fleet(folders)));
+            Files.writeString(to, AuditPage.of(fleet()));
             return 0;
         }
     }
@@ -262,13 +260,10 @@
     @Command(name = "stragglers", mixinStandardHelpOptions = true,
             description = "Who began exchanges under a floor after it was confirmed, and until when. A lease long is "
                     + "what is promised; by hybrid time, so that a clock that stepped shows as well.")
-    static final class Stragglers extends Reading {
-        @Parameters(paramLabel = "FOLDER", arity = "1..*")
-        private List<Path> folders;
-
+    static final class Stragglers extends OfFolders {
         @Override
         public Integer call() throws IOException {
-            for (Fleetwide.Below each : fleet(folders).stragglers()) {
+            for (Fleetwide.Below each : fleet().stragglers()) {
                 line(String.format(Locale.ROOT, "%-12s began %d under the floor %d, the last %d ms after it was "
                         + "confirmed at %s", each.name(), each.count(), each.floor(), each.last() - each.confirmed(),
                         Instant.ofEpochMilli(each.confirmed())), "instance", each.name(), "floor", each.floor(),
--- a/lab/src/main/java/vetchrill/tool/MembersCommand.java
+++ b/lab/src/main/java/vetchrill/tool/MembersCommand.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.Callable;
 import java.util.stream.IntStream;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
 import vetchrill.members.Pace;
 import vetchrill.peersim.MembersWorld;
 
@@ -14,20 +13,11 @@
 @Command(name = "members", mixinStandardHelpOptions = true,
         description = "Simulate fleets whose instances hear each other, beside plain heartbeats: time to detect a "
                 + "death, wrong verdicts and bytes, by size and fault.")
-final class MembersCommand implements Callable<Integer> {
+final class MembersCommand extends SimulatedFleets implements Callable<Integer> {
     private static final long SETTLED = 150_000;
     private static final long PLAYED = 600_000;
     private static final long PAUSE = 50_000;
 
-    @Option(names = "--sizes", split = ",", defaultValue = "10,100", description = "Of the fleets (${DEFAULT-VALUE}).")
-    private List<Integer> sizes;
-
-    @Option(names = "--seeds", defaultValue = "5", description = "Of each case (${DEFAULT-VALUE}).")
-    private int seeds;
-
-    @Option(names = "--first-seed", defaultValue = "1", description = "The first of them (${DEFAULT-VALUE}).")
-    private long first;
-
     private record Case(String name, double loss, boolean pauses) {
     }
 
--- a/lab/src/main/java/vetchrill/tool/VersionsCommand.java
+++ b/lab/src/main/java/vetchrill/tool/VersionsCommand.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Callable;
 import java.util.stream.IntStream;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
 import vetchrill.peersim.VersionsWorld;
 import vetchrill.versions.Version.Stage;
 
@@ -16,22 +15,13 @@
 @Command(name = "versions", mixinStandardHelpOptions = true,
         description = "Simulate fleets that agree on versions: time from publishing to all, and from a floor to nobody "
                 + "under it, beside sending it once to each.")
-final class VersionsCommand implements Callable<Integer> {
+final class VersionsCommand extends SimulatedFleets implements Callable<Integer> {
     private static final long LEASE = 30_000;
     private static final long EVERY = 5_000;
     private static final long SETTLED = 30_000;
     private static final long PLAYED = 300_000;
     private static final long TROUBLE = 100_000;
 
-    @Option(names = "--sizes", split = ",", defaultValue = "10,100", description = "Of the fleets (${DEFAULT-VALUE}).")
-    private List<Integer> sizes;
-
-    @Option(names = "--seeds", defaultValue = "5", description = "Of each case (${DEFAULT-VALUE}).")
-    private int seeds;
-
-    @Option(names = "--first-seed", defaultValue = "1", description = "The first of them (${DEFAULT-VALUE}).")
-    private long first;
-
     private enum Fault { NONE, LOST_5, LOST_20, TENTH_STOPPED, TENTH_CUT_OFF }
 
     private record Outcome(List<Long> took, List<Long> under, int missed, long broadcastMissed, double bytesPerS) {
--- a/peers/src/main/java/vetchrill/peers/Agreement.java
+++ b/peers/src/main/java/vetchrill/peers/Agreement.java
@@ -6,7 +6,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -37,6 +39,7 @@
 
     private static final System.Logger LOG = System.getLogger("vetchrill.versions");
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long HEADS_EVERY = 5_000;
 
     private final String name;
     private final Versions versions;
@@ -45,6 +48,7 @@
     private final LongSupplier clock;
     private final HybridTime time;
     private final AuditWriter audit;
+    private final Map<String, Heads> heads = new HashMap<>();
     private final LinkedBlockingQueue<Memory> toKeep = new LinkedBlockingQueue<>();
     private Consumer<Runnable> post;
     private long stack;
@@ -141,9 +145,6 @@
         }
     }
 
-    private static final long HEADS_EVERY = 5_000;
-    private final java.util.Map<String, Heads> heads = new java.util.HashMap<>();
-
     long wakeAt() {
         return versions.wakeAt();
     }
@@ -189,7 +190,7 @@
         @Override
         public void tell(Versions.Event event, String of, long version, String text) {
             System.Logger.Level level = switch (event) {
-                case HEARD, TAKEN, FREE, CONFIRMED, RECOVERED -> System.Logger.Level.INFO;
+                case HEARD, TAKEN, FREE, CONFIRMED -> System.Logger.Level.INFO;
                 case BEHIND, BARRED, STOPPED -> System.Logger.Level.WARNING;
                 default -> System.Logger.Level.ERROR;
             };
--- a/peers/src/main/java/vetchrill/versions/Versions.java
+++ b/peers/src/main/java/vetchrill/versions/Versions.java
@@ -27,7 +27,7 @@
  */
 public final class Versions {
     /** What may become of it, for whoever keeps the log and the record. */
-    public enum Event { HEARD, TAKEN, REFUSED, FORK, STOPPED, BEHIND, BARRED, FREE, CONFIRMED, RECOVERED, DISK }
+    public enum Event { HEARD, TAKEN, REFUSED, FORK, STOPPED, BEHIND, BARRED, FREE, CONFIRMED, DISK }
 
     /** What it may ask of its owner. */
     public interface Host {
