--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -30,6 +30,7 @@
 versions {
   on        = false
   directory = "state"              # what must not be forgotten: a disk that lasts, of this instance alone
+  store_mb  = 64                   # of that disk, at most; what was damaged and put aside for staff comes on top
   keepers   = ["r2", "r3", "r4"]   # 1, 3, 5 or 7 instances, the same in every file; more than half must be heard
   lease_ms  = 3000                 # so long an instance goes on without them; the same in every file
   every_ms  = 500
--- a/fuzz/src/main/java/vetchrill/fuzz/MeasureAuditCommand.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/MeasureAuditCommand.java
@@ -42,6 +42,10 @@
     @Option(names = "--schedules", defaultValue = "20000", description = "Drawn for the simulation (${DEFAULT-VALUE}).")
     private int schedules;
 
+    @Option(names = "--beside", negatable = true, defaultValue = "true", fallbackValue = "true",
+            description = "A change by a version beside one by a file on each machine and SIGHUP (${DEFAULT-VALUE}).")
+    private boolean beside;
+
     @Option(names = "--depth", defaultValue = "4", description = "Of the walk through all orders (${DEFAULT-VALUE}).")
     private int depth;
 
@@ -95,6 +99,9 @@
                 Folders.remove(folder);
             }
         }
+        if (beside) {
+            besideFile();
+        }
         drawn();
         VersionsWalk walk = new VersionsWalk();
         walked(walk);
@@ -114,6 +121,17 @@
         return wrong.isEmpty() ? 0 : 1;
     }
 
+    private void besideFile() throws IOException, InterruptedException {
+        Path folder = AuditPlay.folder();
+        System.out.printf("%-18s %14s %14s %7s | %14s %7s%n", "one of them is", "by version ms", "healed, ms", "missed",
+                "file, HUP ms", "missed");
+        for (AuditPlay.Beside each : AuditPlay.besideFile(processes, keepers, folder)) {
+            System.out.printf("%-18s %14d %14d %7d | %14d %7d%n", each.trouble(), each.versionMs(),
+                    each.versionHealedMs(), each.versionMissed(), each.fileMs(), each.fileMissed());
+        }
+        Folders.remove(folder);
+    }
+
     private void drawn() {
         List<byte[]> all = new ArrayList<>();
         java.util.SplittableRandom chance = new java.util.SplittableRandom(first);
--- a/fuzz/src/main/java/vetchrill/fuzz/targets/Registered.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/Registered.java
@@ -12,6 +12,7 @@
     public static List<Target> all() {
         return List.of(new FramesTarget(), new LinesTarget(), TextTargets.membership(), TextTargets.settings(),
                 TextTargets.start(), TextTargets.wire(), TextTargets.hcl(), TextTargets.capture(), new ModuleTarget(),
-                new ChainTarget(), new MembersTarget(), new VersionsTarget());
+                new ChainTarget(), new MembersTarget(), new VersionsTarget(),
+                new StoreTarget(), new RecoveryTarget());
     }
 }
--- a/fuzz/src/main/java/vetchrill/fuzz/targets/VersionsTarget.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/VersionsTarget.java
@@ -58,7 +58,7 @@
         }
     }
 
-    private static void step(VersionsWorld world, int size, int what, int at, int b, int c) {
+    static void step(VersionsWorld world, int size, int what, int at, int b, int c) {
         int other = (at + 1 + b % (size - 1)) % size;
         switch (what) {
             case 0 -> world.kill(at);
--- a/lab/src/main/java/vetchrill/files/Folders.java
+++ b/lab/src/main/java/vetchrill/files/Folders.java
@@ -20,4 +20,13 @@
             }
         }
     }
+
+    /** All that is in it, into one that is not there yet. */
+    public static void copy(Path from, Path to) throws IOException {
+        try (var all = Files.walk(from)) {
+            for (Path each : all.toList()) {
+                Files.copy(each, to.resolve(from.relativize(each).toString()));
+            }
+        }
+    }
 }
--- a/lab/src/main/java/vetchrill/peering/Beside.java
+++ b/lab/src/main/java/vetchrill/peering/Beside.java
@@ -65,8 +65,8 @@
         }
         LongSupplier tenths = clock::now;
         Agreement agreement = versions == null ? null : new Agreement(versions.terms(), name, peers.zone,
-                text, nonce, new Store(versions.directory(), rigged), chance.nextLong(), tenths, time, audit,
-                new Held(chain));
+                text, nonce, new Store(rigged.disk(versions.directory()), name, versions.bound()),
+                chance.nextLong(), tenths, time, audit, new Held(chain));
         // Another process under its name ends this one as the notice to leave does: nothing that is held is lost.
         peering = new Peering(peers.pace, name, peers.zone, peers.listen, peers.others, nonce, chance.nextLong(),
                 new Limits(PEER_MEMORY, PEER_DESCRIPTORS), tenths, () -> Signal.raise(new Signal("TERM")), agreement);
--- a/lab/src/main/java/vetchrill/peering/Program.java
+++ b/lab/src/main/java/vetchrill/peering/Program.java
@@ -17,12 +17,20 @@
     }
 
     public static String text() throws IOException {
-        Path at;
+        return text(at());
+    }
+
+    /** Where the instance's program lies: a jar, or the folder of its classes. */
+    public static Path at() throws IOException {
         try {
-            at = Path.of(OverloadController.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            return Path.of(OverloadController.class.getProtectionDomain().getCodeSource().getLocation().toURI());
         } catch (URISyntaxException e) {
             throw new IOException(e.getMessage());
         }
+    }
+
+    /** The digest of the program that lies there. */
+    public static String text(Path at) throws IOException {
         MessageDigest all = Digests.sha256();
         if (Files.isRegularFile(at)) {
             all.update(Files.readAllBytes(at));
--- a/lab/src/main/java/vetchrill/peering/Rigged.java
+++ b/lab/src/main/java/vetchrill/peering/Rigged.java
@@ -5,19 +5,33 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.SplittableRandom;
 import vetchrill.audit.AuditWriter;
-import vetchrill.peers.Store;
+import vetchrill.powerloss.FolderMedia;
+import vetchrill.powerloss.LosingDisk;
+import vetchrill.store.Disk;
+import vetchrill.store.FolderDisk;
 
 /**
  * What a rig does to one process of its own, by a file that it may change at any time: words {@code clock_ms=N}, by
- * which the system's clock is off, and {@code disk=full}. Nothing of it is there without {@code serve --rigged}.
+ * which the system's clock is off, and {@code disk=full}; each call of the store's disk takes
+ * {@code stall_ms=N} longer. What the store has not synced goes with the process, as it does with the
+ * power, but for some of it at {@code spill=P} of its calls, drawn by {@code seed=S}; {@code lose_at=N}, read at the
+ * start: the power goes at the Nth write point. Nothing of it is there without {@code serve --rigged}.
  */
-public final class Rigged implements AuditWriter.Disk, Store.Trouble {
+public final class Rigged implements AuditWriter.Disk {
     private static final int EVERY_MS = 10;
+    /** What a process exits with whose power went at a write point. */
+    public static final int GONE = 137;
 
     private final Path file;
     private volatile long off;
     private volatile boolean full;
+    private volatile long stall;
+    private double spill = 0.3;
+    private long loseAt;
+    private long seed;
+    private long points;
 
     /** Null for none. */
     public Rigged(Path file) {
@@ -45,7 +59,18 @@
         try {
             long by = 0;
             boolean is = false;
+            long held = 0;
             for (String word : Files.readString(file).split("\\s+")) {
+                String value = word.substring(word.indexOf('=') + 1);
+                if (word.startsWith("stall_ms=")) {
+                    held = Long.parseLong(value);
+                } else if (word.startsWith("spill=")) {
+                    spill = Double.parseDouble(value);
+                } else if (word.startsWith("lose_at=")) {
+                    loseAt = Long.parseLong(value);
+                } else if (word.startsWith("seed=")) {
+                    seed = Long.parseLong(value);
+                }
                 if (word.startsWith("clock_ms=")) {
                     by = Long.parseLong(word.substring(9));
                 }
@@ -53,6 +78,7 @@
             }
             off = by;
             full = is;
+            stall = held;
         } catch (IOException | NumberFormatException e) {
             // It is being written just now: the next look reads it whole.
         }
@@ -69,8 +95,31 @@
         return at.getEpochSecond() * 10_000 + at.getNano() / 100_000 + off * 10;
     }
 
-    @Override
-    public void before() throws IOException {
+    /** The disk of what must not be forgotten, as the rig has it. */
+    public Disk disk(Path folder) throws IOException {
+        FolderDisk held = FolderDisk.held(folder);
+        if (file == null) {
+            return held;
+        }
+        return new LosingDisk(new FolderMedia(folder), new SplittableRandom(seed), spill, call -> point());
+    }
+
+    private void point() throws IOException {
+        if (++points == loseAt) {
+            // No hook runs, no stream is flushed: as the power goes.
+            Runtime.getRuntime().halt(GONE);
+        }
+        if (stall > 0) {
+            try {
+                Thread.sleep(stall);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        before();
+    }
+
+    private void before() throws IOException {
         if (full) {
             throw new IOException("No space left on device");
         }
--- a/lab/src/main/java/vetchrill/peering/VersionsOrder.java
+++ b/lab/src/main/java/vetchrill/peering/VersionsOrder.java
@@ -12,8 +12,8 @@
     private VersionsOrder() {
     }
 
-    /** What is agreed on, and where it is kept. */
-    public record Order(Terms terms, Path directory) {
+    /** What is agreed on, where it is kept, and in how many octets at most. */
+    public record Order(Terms terms, Path directory, long bound) {
     }
 
     /** Null where the file has no such block, or it is off. Mistakes are noted in the file and told by its check. */
@@ -28,6 +28,7 @@
         double lease = block.number("lease_ms", 100, 600_000, 3_000);
         double every = block.number("every_ms", 10, 60_000, 500);
         double behind = block.number("behind_ms", 100, 86_400_000, 30_000);
+        double store = block.number("store_mb", 1, 1e5, 64);
         boolean serves = block.oneOf("alone", "deny", "serve").equals("serve");
         if (every * 2 > lease) {
             block.mistake("every_ms", "should be half of lease_ms or less");
@@ -51,7 +52,7 @@
             keepers = List.of(name);
         }
         return on ? new Order(new Terms(new ArrayList<>(peers.others.keySet()), keepers, Math.round(lease * 10),
-                Math.round(every * 10), Math.round(behind * 10), serves), directory) : null;
+                Math.round(every * 10), Math.round(behind * 10), serves), directory, (long) (store * (1 << 20))) : null;
     }
 
     /** Null where the file has no such block, or it is off. */
--- a/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
+++ b/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
@@ -1,5 +1,6 @@
 package vetchrill.peersim;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -7,6 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import vetchrill.peers.Store;
+import vetchrill.powerloss.LosingDisk;
+import vetchrill.powerloss.MemoryMedia;
+import vetchrill.store.Journal;
 import vetchrill.versions.Digests;
 import vetchrill.versions.Memory;
 import vetchrill.versions.Saying;
@@ -42,7 +47,8 @@
 
         Process(int place) {
             this.place = place;
-            Memory memory = disks[place];
+            Memory memory = media == null ? disks[place] : opened(place);
+            disks[place] = memory;
             taken = memory == null || memory.taken() == null ? 0 : memory.taken().number();
             versions = new Versions(terms(place), name(place), zone(place), place % 7 == 6 ? OTHER_TEXT : TEXT, nonce,
                     memory, chance.nextLong(), now());
@@ -52,6 +58,7 @@
     public static final String TEXT = "a".repeat(64);
     private static final String OTHER_TEXT = "b".repeat(64);
     private static final int MOST_STEPS = 100_000;
+    private static final long STORE = 1 << 20;
 
     private final int size;
     private final int keepers;
@@ -59,6 +66,22 @@
     private final long lease;
     private final long every;
     private final Memory[] disks;
+    /** What each place has of media where stores are played as they are, else null; and the store of its process. */
+    private final MemoryMedia[] media;
+    private final LosingDisk[] losing;
+    private final Journal[] journals;
+    private final byte[][] contentThere;
+    /** What was told to be on the disk of that place, by which its memory must not be lower as it returns. */
+    private final Memory[] acknowledged;
+    /** The disk of that place is not what it was: what it holds is no promise. */
+    private final boolean[] doubted;
+    private final boolean[] toBeTold;
+    private final boolean[] mustTell;
+    /** Write points until the power of all goes; 0 for never. */
+    private long pointsLeft;
+    public int losses;
+    public int damaged;
+    public int toldApart;
     private final boolean[] full;
     private final long[] slow;
     /** Of a name that was not dead as another process came up under it: the one before, with its own disk. */
@@ -89,7 +112,20 @@
     }
 
     public VersionsWorld(int size, int keepers, int zones, long lease, long every, long seed) {
+        this(size, keepers, zones, lease, every, seed, false);
+    }
+
+    /** {@code stores}: each place has the real store on media of its own, whose power can go at each write point. */
+    public VersionsWorld(int size, int keepers, int zones, long lease, long every, long seed, boolean stores) {
         super(seed);
+        media = stores ? new MemoryMedia[size] : null;
+        losing = new LosingDisk[size];
+        journals = new Journal[size];
+        contentThere = new byte[size][];
+        acknowledged = new Memory[size];
+        doubted = new boolean[size];
+        toBeTold = new boolean[size];
+        mustTell = new boolean[size];
         this.size = size;
         this.keepers = keepers;
         this.zones = zones;
@@ -104,10 +140,175 @@
         processes = new Process[size];
         for (int i = 0; i < size; i++) {
             forgetful[i] = i < keepers;
+            if (stores) {
+                media[i] = new MemoryMedia();
+            }
             start(i);
         }
     }
 
+    /** The power is gone: nothing of what was at hand goes on. */
+    private static final class PowerLost extends RuntimeException {
+        private static final long serialVersionUID = 1;
+    }
+
+    /** What the store of that place holds as its process starts. */
+    private Memory opened(int place) {
+        try {
+            losing[place] = new LosingDisk(media[place], chance.split(), 0.3, call -> {
+                if (full[place]) {
+                    throw new IOException("No space left on device");
+                }
+                if (pointsLeft > 0 && --pointsLeft == 0) {
+                    throw new PowerLost();
+                }
+            });
+            journals[place] = new Journal(losing[place], name(place), STORE);
+            contentThere[place] = null;
+            Memory memory = Store.memory(name(place), journals[place].found(), journals[place].facts());
+            promised(place, memory);
+            acknowledged[place] = memory;
+            return memory;
+        } catch (IOException e) {
+            throw new Broken("a store can't be opened: " + e.getMessage());
+        }
+    }
+
+    /** Nothing that binds goes back on a disk that is what it was. */
+    private void promised(int place, Memory memory) {
+        Memory told = acknowledged[place];
+        boolean apart = journals[place].found().compareTo(Journal.Found.TORN) > 0;
+        if (doubted[place]) {
+            tellsApart(place, apart);
+            return;
+        }
+        if (apart) {
+            throw new Broken("a store that is whole is held to be " + journals[place].found() + ": "
+                    + journals[place].why());
+        }
+        if (told != null && (memory == null || memory.count() < told.count() || memory.floor() < told.floor()
+                || memory.life() < told.life() || number(memory) < number(told) || told.able() && !memory.able()
+                && memory.count() == told.count())) {
+            throw new Broken(name(place) + " was told that " + told + " is kept, and has " + memory);
+        }
+    }
+
+    private void tellsApart(int place, boolean is) {
+        if (is && toBeTold[place]) {
+            toldApart++;
+            toBeTold[place] = false;
+        }
+    }
+
+    private static long number(Memory memory) {
+        return memory.taken() == null ? 0 : memory.taken().number();
+    }
+
+    /** Throws IOException where it can't be kept. */
+    private void commit(int place, Memory memory) throws IOException {
+        Memory before = acknowledged[place];
+        if (before != null && memory.count() <= before.count() && (memory.floor() > before.floor()
+                || memory.life() > before.life() || number(memory) > number(before))) {
+            throw new Broken(name(place) + " keeps what binds under the count of before");
+        }
+        journals[place].commit(Store.changes(memory, contentThere[place]), true);
+        doubted[place] = false;
+        contentThere[place] = memory.content();
+        acknowledged[place] = memory;
+    }
+
+    /** The power of all of them goes now, or at a later write point of any of their stores. */
+    public void loseAll(long atPoint) {
+        pointsLeft = atPoint;
+        if (atPoint == 0) {
+            losses++;
+            for (int i = 0; i < size; i++) {
+                if (processes[i].up) {
+                    kill(i);
+                }
+            }
+        }
+    }
+
+    /** All that are down come back, each up to so much later than the one before. */
+    public void returnAll(long stagger) {
+        long at = now();
+        for (int i = 0; i < size; i++) {
+            int place = i;
+            at += stagger > 0 ? chance.nextLong(stagger) : 0;
+            at(at, () -> start(place));
+        }
+        faulty();
+    }
+
+    /** As the media of that place are now, to be put back on a later day. */
+    public MemoryMedia day(int place) {
+        return new MemoryMedia(media[place]);
+    }
+
+    /** It comes back with media of an earlier day, or another's; false where more would be in doubt than may be. */
+    public boolean otherMedia(int place, MemoryMedia instead) {
+        return spoilt(place, () -> media[place] = instead);
+    }
+
+    /** It comes back with an octet changed, or with the end cut off at a commit or within one. */
+    public boolean spoilMedia(int place, boolean cut, int part) {
+        if (media[place].names().isEmpty()) {
+            return false;
+        }
+        return spoilt(place, () -> {
+            List<String> names = media[place].names();
+            String name = names.get(part % names.size());
+            try {
+                int length = media[place].read(name).length;
+                if (length > 0) {
+                    media[place].spoil(name, part * 31 % length, cut);
+                }
+            } catch (IOException e) {
+                throw new Broken(e.getMessage());
+            }
+        });
+    }
+
+    /** All other keepers have on their disks how far that one has come: else an older disk is not promised to show. */
+    private boolean remembered(int place) {
+        long count = acknowledged[place] == null ? 0 : acknowledged[place].count();
+        for (int i = 0; i < keepers; i++) {
+            if (i != place && (acknowledged[i] == null || acknowledged[i].seen().stream().noneMatch(each ->
+                    each.name().equals(name(place)) && each.count() >= count))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean spoilt(int place, Runnable act) {
+        if (place < keepers) {
+            int lost = 1;
+            for (int i = 0; i < keepers; i++) {
+                lost += forgetful[i] && i != place ? 1 : 0;
+            }
+            if (lost > (keepers - 1) / 2 || !remembered(place)) {
+                return false;
+            }
+            forgetful[place] = true;
+        }
+        if (processes[place].up) {
+            kill(place);
+        }
+        long count = acknowledged[place] == null ? 0 : acknowledged[place].count();
+        act.run();
+        damaged++;
+        doubted[place] = true;
+        toBeTold[place] = true;
+        acknowledged[place] = null;
+        start(place);
+        // Its start and its being taught bring it on by some, which must not hide that it was behind.
+        long now = acknowledged[place] == null ? 0 : acknowledged[place].count();
+        mustTell[place] = place < keepers && now + 3 < count && now > 0;
+        return true;
+    }
+
     private static String name(int place) {
         return "r" + place;
     }
@@ -143,6 +344,13 @@
 
     public void kill(int place) {
         processes[place].up = false;
+        if (media != null) {
+            try {
+                losing[place].lose();
+            } catch (IOException e) {
+                throw new Broken(e.getMessage());
+            }
+        }
         faulty();
     }
 
@@ -162,6 +370,10 @@
             forgetful[place] = true;
         }
         kill(place);
+        if (media != null) {
+            media[place] = new MemoryMedia();
+            acknowledged[place] = null;
+        }
         disks[place] = instead;
         start(place);
         return true;
@@ -213,6 +425,7 @@
         Arrays.fill(full, false);
         Arrays.fill(slow, 0);
         spoilt = 0;
+        pointsLeft = 0;
         for (Process each : ghosts) {
             if (each != null) {
                 each.up = false;
@@ -307,6 +520,10 @@
                 if (place == process.place || place >= size) {
                     throw new Broken("a word goes to a name that nobody else has");
                 }
+                if (media != null && saying.standing().count() > (acknowledged[process.place] == null ? 0
+                        : acknowledged[process.place].count())) {
+                    throw new Broken(name(process.place) + " tells of a memory that is not on its disk");
+                }
                 sayings++;
                 bytes += size(saying);
                 carry(process.place, place, () -> {
@@ -328,6 +545,10 @@
                         pump(process);
                         return;
                     }
+                    if (media != null) {
+                        store(process, memory);
+                        return;
+                    }
                     // A process that was killed meanwhile may have brought it to the disk or not.
                     if (processes[process.place] != process || !process.up && chance.nextBoolean()) {
                         return;
@@ -336,7 +557,7 @@
                         process.versions.kept(false);
                     } else {
                         disks[process.place] = memory;
-                        forgetful[process.place] &= !memory.able();
+                        forgetful[process.place] &= !(memory.able() && process.versions.standing().able());
                         process.versions.kept(true);
                     }
                     pump(process);
@@ -372,6 +593,7 @@
 
             @Override
             public void tell(Versions.Event event, String of, long version, String text) {
+                tellsApart(process.place, event == Versions.Event.OLDER);
                 if (event == Versions.Event.FORK) {
                     process.forks.add(version);
                 }
@@ -380,6 +602,25 @@
         };
     }
 
+    private void store(Process process, Memory memory) {
+        int place = process.place;
+        if (!process.up || processes[place] != process) {
+            return;
+        }
+        try {
+            commit(place, memory);
+            disks[place] = memory;
+            forgetful[place] &= !(memory.able() && process.versions.standing().able());
+            process.versions.kept(true);
+        } catch (IOException e) {
+            process.versions.kept(false);
+        } catch (PowerLost e) {
+            loseAll(0);
+            return;
+        }
+        pump(process);
+    }
+
     /** The process that stands at that name for whoever speaks from there. */
     private Process reached(int from, int place) {
         return ghosts[place] != null && ghosts[place].up && (sides[place] >> from & 1) == 0 ? ghosts[place]
@@ -395,8 +636,8 @@
         byte[] other = saying.piece().bytes().clone();
         other[chance.nextInt(other.length)] ^= 1;
         return new Saying(saying.kind(), saying.from(), saying.zone(), saying.nonce(), saying.number(),
-                saying.news(), saying.standing(), new Saying.Piece(saying.piece().digest(), saying.piece().at(),
-                other));
+                saying.ofYou(), saying.news(), saying.standing(),
+                new Saying.Piece(saying.piece().digest(), saying.piece().at(), other));
     }
 
     /** As many octets as it has in CBOR, near enough for a sum. */
@@ -498,6 +739,9 @@
             }
         }
         for (int i = 0; i < size; i++) {
+            if (toBeTold[i] && mustTell[i]) {
+                throw new Broken(name(i) + " has a disk of an earlier day, and nobody says so");
+            }
             long should = should(i, highest);
             if (processes[i].taken < should) {
                 throw new Broken(name(i) + " decides by " + processes[i].taken + " and not by " + should);
--- /dev/null
+++ b/lab/src/main/java/vetchrill/powerloss/MemoryMedia.java
@@ -0,0 +1,75 @@
+package vetchrill.powerloss;
+
+import java.io.FileNotFoundException;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+
+/** The media of a simulated machine, which can be copied as it stands. */
+public final class MemoryMedia implements Media {
+    private final TreeMap<String, byte[]> files = new TreeMap<>();
+
+    public MemoryMedia() {
+    }
+
+    /** The same files, to be changed apart. */
+    public MemoryMedia(MemoryMedia like) {
+        like.files.forEach((name, bytes) -> files.put(name, bytes.clone()));
+    }
+
+    @Override
+    public List<String> names() {
+        return List.copyOf(files.keySet());
+    }
+
+    @Override
+    public byte[] read(String name) throws IOException {
+        byte[] bytes = files.get(name);
+        if (bytes == null) {
+            throw new FileNotFoundException(name);
+        }
+        return bytes.clone();
+    }
+
+    @Override
+    public void create(String name) {
+        files.put(name, new byte[0]);
+    }
+
+    @Override
+    public void write(String name, int at, byte[] bytes, int from, int size) {
+        byte[] was = files.getOrDefault(name, new byte[0]);
+        byte[] is = Arrays.copyOf(was, Math.max(was.length, at + size));
+        System.arraycopy(bytes, from, is, at, size);
+        files.put(name, is);
+    }
+
+    @Override
+    public void rename(String from, String to) {
+        byte[] bytes = files.remove(from);
+        if (bytes != null) {
+            files.put(to, bytes);
+        }
+    }
+
+    @Override
+    public void delete(String name) {
+        files.remove(name);
+    }
+
+    /** Octets of all files. */
+    public long size() {
+        return files.values().stream().mapToLong(each -> each.length).sum();
+    }
+
+    /** One octet is changed, or all from there on are gone. */
+    public void spoil(String name, int at, boolean cut) {
+        byte[] bytes = files.get(name);
+        if (cut) {
+            files.put(name, Arrays.copyOf(bytes, at));
+        } else {
+            bytes[at] ^= 0x41;
+        }
+    }
+}
--- a/lab/src/main/java/vetchrill/standin/AuditPlay.java
+++ b/lab/src/main/java/vetchrill/standin/AuditPlay.java
@@ -91,6 +91,88 @@
         judge(rig, outcome);
     }
 
+    /** How a change came to a fleet while something was broken: by a version, and by a file on each machine. */
+    public record Beside(String trouble, long versionMs, long versionHealedMs, int versionMissed, long fileMs,
+            int fileMissed) {
+    }
+
+    private static final int TROUBLE_MS = 1_500;
+    private static final int BESIDE_MS = 4_000;
+
+    /**
+     * The same change both ways under each trouble, which lasts for a second and a half: how long until all that lived
+     * and heard had it, and whom it had not come to two and a half seconds after all was healed.
+     */
+    public static List<Beside> besideFile(int size, int keepers, Path folder) throws IOException,
+            InterruptedException {
+        List<Beside> all = new ArrayList<>();
+        try (AuditRig rig = new AuditRig(size, keepers, folder, 1)) {
+            rig.untilAll(0);
+            rig.load(40);
+            int at = size - 1;
+            for (String trouble : List.of("none", "delayed by 30 ms", "stopped", "cut off", "killed")) {
+                long[][] took = new long[2][];
+                for (int way = 0; way < 2; way++) {
+                    breakOne(rig, trouble, at);
+                    Thread healing = new Thread(() -> {
+                        try {
+                            Thread.sleep(TROUBLE_MS);
+                            mendOne(rig, trouble, at);
+                        } catch (IOException e) {
+                            throw new java.io.UncheckedIOException(e);
+                        } catch (InterruptedException e) {
+                            Thread.currentThread().interrupt();
+                        }
+                    });
+                    healing.start();
+                    if (way == 0) {
+                        rig.publish(0, rig.number + 1, 1);
+                        took[way] = rig.taken(rig.number, BESIDE_MS);
+                    } else {
+                        took[way] = rig.byFile(BESIDE_MS);
+                    }
+                    healing.join();
+                    rig.serving();
+                }
+                all.add(new Beside(trouble, most(took[0], TROUBLE_MS), most(took[0], BESIDE_MS), missed(took[0]),
+                        most(took[1], BESIDE_MS), missed(took[1])));
+            }
+            rig.end();
+        }
+        return all;
+    }
+
+    private static void breakOne(AuditRig rig, String trouble, int at) throws IOException, InterruptedException {
+        switch (trouble) {
+            case "delayed by 30 ms" -> rig.delay(at, 30);
+            case "stopped" -> rig.signal(at, "STOP");
+            case "cut off" -> rig.part(1 << at, true);
+            case "killed" -> rig.kill(at);
+            default -> {
+            }
+        }
+    }
+
+    private static void mendOne(AuditRig rig, String trouble, int at) throws IOException, InterruptedException {
+        switch (trouble) {
+            case "delayed by 30 ms" -> rig.delay(at, 0);
+            case "stopped" -> rig.signal(at, "CONT");
+            case "cut off" -> rig.part(1 << at, false);
+            case "killed" -> rig.start(at);
+            default -> {
+            }
+        }
+    }
+
+    /** The latest of those that came before so many milliseconds. */
+    private static long most(long[] took, int before) {
+        return java.util.Arrays.stream(took).filter(each -> each < before).max().orElse(-1);
+    }
+
+    private static int missed(long[] took) {
+        return (int) java.util.Arrays.stream(took).filter(each -> each < 0).count();
+    }
+
     /** One trouble, begun before a version or a floor and healed after it. */
     private static void trouble(AuditRig rig, int size, int keepers, SplittableRandom chance, Outcome outcome)
             throws IOException, InterruptedException {
--- a/lab/src/main/java/vetchrill/standin/AuditRig.java
+++ b/lab/src/main/java/vetchrill/standin/AuditRig.java
@@ -10,6 +10,8 @@
 import java.net.Socket;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.FileSystem;
+import java.nio.file.FileSystems;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -21,6 +23,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import vetchrill.audit.Segments;
+import vetchrill.files.Folders;
+import vetchrill.peering.Program;
 import vetchrill.peers.PeerStatus;
 import vetchrill.protocol.DeploymentReader;
 
@@ -78,6 +82,9 @@
     public final ConcurrentHashMap<Integer, Long> stopped = new ConcurrentHashMap<>();
     private final long[] clockOff;
     private final boolean[] diskFull;
+    /** What each place runs: null for the program of this rig. */
+    private final Path[] releases;
+    private final int[] loseAt;
     private volatile boolean loading;
     private final List<Thread> stubs = new ArrayList<>();
     public long number;
@@ -96,6 +103,8 @@
         processes = new Process[size];
         clockOff = new long[size];
         diskFull = new boolean[size];
+        releases = new Path[size];
+        loseAt = new int[size];
         membership = new Membership((name, up, call) -> { });
         open.add(membership);
         for (int i = 0; i < size; i++) {
@@ -153,11 +162,7 @@
 
     public void start(int place) throws IOException {
         Files.createDirectories(home(place));
-        Path config = home(place).resolve("config.json");
-        Files.writeString(config, "{\"name\":\"" + name(place) + "\",\"listen\":\"127.0.0.1:" + ports[place]
-                + "\",\"vm\":\"127.0.0.1:" + interpreters[place].port() + "\",\"members\":\"127.0.0.1:"
-                + membership.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":1500,\"limits\":{\"cores\":1.0,"
-                + "\"memory_mb\":192,\"sockets\":64},\"settings\":" + settings(0, 1) + "}");
+        Path config = writeConfig(place);
         StringBuilder file = new StringBuilder("peers {\n  listen = \"127.0.0.1:" + peerPorts[place]
                 + "\"\n  zone = \"z" + place % 3
                 + "\"\n  period_ms = 200\n  answer_ms = 80\n  sync_ms = 400\n");
@@ -179,7 +184,7 @@
         rig(place);
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xmx64m",
-                "--add-opens=java.base/java.nio=ALL-UNNAMED", "-cp", Seat.classPath(), "vetchrill.tool.Vetchrill",
+                "--add-opens=java.base/java.nio=ALL-UNNAMED", "-cp", classPath(place), "vetchrill.tool.Vetchrill",
                 "serve", "--operator", operator.toString(), "--rigged", home(place).resolve("rigged").toString());
         builder.environment().put("GW_CONFIG", config.toString());
         builder.environment().remove("GW_NAME");
@@ -189,9 +194,97 @@
         processes[place] = builder.start();
     }
 
+    private Path writeConfig(int place) throws IOException {
+        Path config = home(place).resolve("config.json");
+        Files.writeString(config, "{\"name\":\"" + name(place) + "\",\"listen\":\"127.0.0.1:" + ports[place]
+                + "\",\"vm\":\"127.0.0.1:" + interpreters[place].port() + "\",\"members\":\"127.0.0.1:"
+                + membership.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":1500,\"limits\":{\"cores\":1.0,"
+                + "\"memory_mb\":192,\"sockets\":64},\"settings\":" + settings(0, 1) + "}");
+        return config;
+    }
+
+    private String classPath(int place) throws IOException {
+        return releases[place] == null ? Seat.classPath()
+                : Seat.classPath().replace(Program.at().toString(), releases[place].toString());
+    }
+
+    /** Another release of the program, which does the same and has another digest; where it lies. */
+    public Path release(String name) throws IOException {
+        Path from = Program.at();
+        Path to = folder.resolve(name);
+        if (Files.isRegularFile(from)) {
+            Files.copy(from, to);
+            try (FileSystem jar = FileSystems.newFileSystem(to)) {
+                Files.writeString(jar.getPath("release"), name);
+            }
+        } else {
+            Folders.copy(from, to);
+            Files.writeString(to.resolve("release"), name);
+        }
+        return to;
+    }
+
+    /** What that place runs from its next start on. */
+    public void install(int place, Path release) {
+        releases[place] = release;
+    }
+
     private void rig(int place) throws IOException {
-        Files.writeString(home(place).resolve("rigged"), "clock_ms=" + clockOff[place]
-                + (diskFull[place] ? " disk=full" : ""));
+        Files.writeString(home(place).resolve("rigged"), "clock_ms=" + clockOff[place] + " seed=" + chance.nextLong()
+                + (loseAt[place] > 0 ? " lose_at=" + loseAt[place] : "") + (diskFull[place] ? " disk=full" : ""));
+    }
+
+    /** From its next start on: the power of that place goes at that write point of its store; 0 for never. */
+    public void loseAt(int place, int point) {
+        loseAt[place] = point;
+    }
+
+    /** The power of all of them goes at once. */
+    public void powerLoss() throws InterruptedException {
+        faults++;
+        long at = System.nanoTime();
+        for (int i = 0; i < size; i++) {
+            processes[i].destroyForcibly();
+            gone.add(new Gone(i, at, false, false));
+        }
+        for (Process each : processes) {
+            each.waitFor();
+        }
+    }
+
+    /** What lies in a place's store now, to be put back on a later day. */
+    public void saveDisk(int place, String as) throws IOException {
+        Folders.copy(home(place).resolve("state"), folder.resolve(as));
+    }
+
+    /** Of one that is down: the disk is of the day on which it was saved so. */
+    public void restoreDisk(int place, String as) throws IOException {
+        faults++;
+        Folders.remove(home(place).resolve("state"));
+        Folders.copy(folder.resolve(as), home(place).resolve("state"));
+    }
+
+    /** Of two that are down: each has the other's store. */
+    public void swapDisks(int one, int other) throws IOException {
+        faults++;
+        Path aside = folder.resolve("swapping");
+        Files.move(home(one).resolve("state"), aside);
+        Files.move(home(other).resolve("state"), home(one).resolve("state"));
+        Files.move(aside, home(other).resolve("state"));
+    }
+
+    /** Of one that is down: an octet in the middle of its longest log is another. */
+    public void spoilDisk(int place) throws IOException {
+        faults++;
+        Path longest = null;
+        try (var files = Files.list(home(place).resolve("state"))) {
+            for (Path each : files.filter(one -> one.toString().endsWith(".log")).sorted().toList()) {
+                longest = longest == null || Files.size(each) > Files.size(longest) ? each : longest;
+            }
+        }
+        byte[] bytes = Files.readAllBytes(longest);
+        bytes[bytes.length / 3] ^= 0x41;
+        Files.write(longest, bytes);
     }
 
     // What goes wrong.
@@ -236,6 +329,11 @@
 
     public void signal(int place, String name) throws IOException, InterruptedException {
         faults += name.equals("STOP") ? 1 : 0;
+        if (name.equals("STOP")) {
+            stopped.put(place, System.nanoTime());
+        } else {
+            stopped.remove(place);
+        }
         new ProcessBuilder("kill", "-" + name, Long.toString(processes[place].pid())).start().waitFor();
     }
 
@@ -314,8 +412,13 @@
 
     /** False where it was refused or nobody answers. */
     public boolean publish(int place, long number, int gain) {
+        return publish(place, number, gain, "");
+    }
+
+    /** The same for one program alone, by its digest. */
+    public boolean publish(int place, long number, int gain, String text) {
         try {
-            JsonNode answer = order(place, fresh("publish").put("number", number).put("content",
+            JsonNode answer = order(place, fresh("publish").put("number", number).put("text", text).put("content",
                     settings(number, gain).getBytes(StandardCharsets.UTF_8)));
             this.number = Math.max(this.number, number);
             return !answer.has("error");
@@ -324,6 +427,15 @@
         }
     }
 
+    /** Orders a floor and does not wait for it; false where it was refused or nobody answers. */
+    public boolean orderFloor(int place, long floor) {
+        try {
+            return !order(place, fresh("floor").put("number", floor)).has("error");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Orders a floor, and notes when it is confirmed to whomever answers first; false where it is not in that time. */
     public boolean floor(int place, long floor, int patienceMs) throws InterruptedException {
         long end = System.nanoTime() + patienceMs * 1_000_000L;
@@ -368,6 +480,62 @@
         return (System.nanoTime() - began) / 1_000_000;
     }
 
+    /**
+     * A change by a file on each machine and SIGHUP, as without any of this: staff's tool stands at the first place
+     * and reaches what that reaches. Milliseconds until each has read it; -1 for whom it never came to.
+     */
+    public long[] byFile(int patienceMs) throws IOException, InterruptedException {
+        long[] took = new long[size];
+        int[] before = new int[size];
+        Arrays.fill(took, -1);
+        for (int i = 0; i < size; i++) {
+            before[i] = rereads(i);
+        }
+        long began = System.nanoTime();
+        for (int i = 0; i < size; i++) {
+            if (processes[i].isAlive() && (i == 0 || !ways[0][i].swallowsThere)) {
+                writeConfig(i);
+                new ProcessBuilder("kill", "-HUP", Long.toString(processes[i].pid())).start().waitFor();
+            }
+        }
+        long end = began + patienceMs * 1_000_000L;
+        while (System.nanoTime() < end && Arrays.stream(took).anyMatch(each -> each < 0)) {
+            for (int i = 0; i < size; i++) {
+                if (took[i] < 0 && rereads(i) > before[i]) {
+                    took[i] = (System.nanoTime() - began) / 1_000_000;
+                }
+            }
+            Thread.sleep(5);
+        }
+        return took;
+    }
+
+    /** Milliseconds until each decides by that version; -1 for whom it did not come to in time. */
+    public long[] taken(long version, int patienceMs) throws InterruptedException {
+        long[] took = new long[size];
+        Arrays.fill(took, -1);
+        long began = System.nanoTime();
+        long end = began + patienceMs * 1_000_000L;
+        while (System.nanoTime() < end && Arrays.stream(took).anyMatch(each -> each < 0)) {
+            for (int i = 0; i < size; i++) {
+                try {
+                    // One that stands still would not answer either.
+                    if (took[i] < 0 && !stopped.containsKey(i) && status(i).path("taken").asLong() >= version) {
+                        took[i] = (System.nanoTime() - began) / 1_000_000;
+                    }
+                } catch (IOException e) {
+                    // It is not up.
+                }
+            }
+            Thread.sleep(5);
+        }
+        return took;
+    }
+
+    private int rereads(int place) throws IOException {
+        return log(place).split("configuration read again", -1).length - 1;
+    }
+
     /** Until all of them are up and not shut out; throws where that does not come. */
     public void serving() throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
--- a/lab/src/main/java/vetchrill/tool/VersionsCommand.java
+++ b/lab/src/main/java/vetchrill/tool/VersionsCommand.java
@@ -46,7 +46,7 @@
             }
         }
         System.out.println("seconds; a tenth is stopped or cut off for 10 s; lease 3 s, word each 0.5 s; 'once, not': "
-                + "whom one message each never reached");
+                + "whom one message each never reached; floor: of those that had not taken it as it was raised");
         return 0;
     }
 
@@ -69,33 +69,61 @@
         byte[] content = new byte[3_000];
         Arrays.fill(content, (byte) -1);
         world.publish(0, 1, content, "", List.of(new Stage("", 1)), 0);
-        world.until(at + TROUBLE / 2);
+        world.until(at + TROUBLE);
+        parted(world, away, false);
+        world.until(at + PLAYED);
+        List<Long> under = floored(world, size, fault, away);
+        List<Long> took = world.tookAfter.getOrDefault(1L, List.of());
+        long missed = 0;
+        for (int i = 1; i < size; i++) {
+            missed += world.loss > 0 && chance.nextDouble() < world.loss || away[i] && fault == Fault.TENTH_CUT_OFF
+                    ? 1 : 0;
+        }
+        return new Outcome(took, under, size - took.size(), missed, (world.bytes - bytes) / (PLAYED / 10_000.0) / size);
+    }
+
+    /**
+     * Half of the fleet may take the next version, and has it, as the same trouble comes and a floor is raised to it:
+     * how long after the order each of the others could still begin something under it.
+     */
+    private static List<Long> floored(VersionsWorld world, int size, Fault fault, boolean[] away) {
+        byte[] content = new byte[3_000];
+        Arrays.fill(content, (byte) -2);
+        world.publish(0, 2, content, "", List.of(new Stage("", 0.5), new Stage("", 1)), 10 * PLAYED);
+        world.until(world.now() + 2 * LEASE);
+        for (int i = 0; i < size; i++) {
+            if (away[i] && fault == Fault.TENTH_STOPPED) {
+                world.pause(i, TROUBLE);
+            }
+        }
+        parted(world, away, fault == Fault.TENTH_CUT_OFF);
         long floorAt = world.now();
-        world.floor(0, 1);
+        boolean[] had = new boolean[size];
+        for (int i = 0; i < size; i++) {
+            had[i] = !world.mayBeginUnder(i, 2) && !away[i];
+        }
+        world.floor(0, 2);
         long[] last = new long[size];
-        Arrays.fill(last, -1);
-        while (world.now() < at + PLAYED) {
-            world.until(world.now() + 100);
+        Arrays.fill(last, floorAt);
+        for (boolean healed = false; world.now() < floorAt + PLAYED;) {
+            world.until(world.now() + 10);
             for (int i = 0; i < size; i++) {
-                if (world.mayBeginUnder(i, 1)) {
+                if (world.mayBeginUnder(i, 2)) {
                     last[i] = world.now();
                 }
             }
-            if (world.now() >= at + TROUBLE) {
+            if (!healed && world.now() >= floorAt + TROUBLE) {
+                healed = true;
                 parted(world, away, false);
             }
         }
         List<Long> under = new ArrayList<>();
-        for (long each : last) {
-            under.add(Math.max(0, each - floorAt));
-        }
-        List<Long> took = world.tookAfter.getOrDefault(1L, List.of());
-        long missed = 0;
-        for (int i = 1; i < size; i++) {
-            missed += world.loss > 0 && chance.nextDouble() < world.loss || away[i] && fault == Fault.TENTH_CUT_OFF
-                    ? 1 : 0;
+        for (int i = 0; i < size; i++) {
+            if (!had[i]) {
+                under.add(last[i] - floorAt);
+            }
         }
-        return new Outcome(took, under, size - took.size(), missed, (world.bytes - bytes) / (PLAYED / 10_000.0) / size);
+        return under;
     }
 
     private static void parted(VersionsWorld world, boolean[] away, boolean is) {
--- a/lab/src/test/java/vetchrill/auditing/RigTest.java
+++ b/lab/src/test/java/vetchrill/auditing/RigTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -13,6 +14,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import vetchrill.peering.Program;
 import vetchrill.standin.AuditPlay;
 import vetchrill.standin.AuditRig;
 import vetchrill.standin.StubFrames;
@@ -158,4 +160,34 @@
         judged();
         assertTrue(new Fleetwide(rig.records()).histories.stream().filter(each -> each.name.equals("r1")).count() == 2);
     }
+
+    /** A release in the middle of a change of settings: what is for the new program is taken by that alone. */
+    public void anotherProgramTakesWhatIsMeantForIt() throws Exception {
+        five();
+        assertTrue(rig.publish(0, 1, 1));
+        rig.untilAll(1);
+        Path release = rig.release("release");
+        rig.part(0b00110, true);
+        assertTrue(rig.publish(0, 3, 1, Program.text(release)));
+        for (int i = 0; i < SIZE; i++) {
+            rig.install(i, release);
+        }
+        rig.kill(3);
+        rig.start(3);
+        until(3, told -> told.path("taken").asLong() == 3);
+        until(4, told -> told.path("taken").asLong() == 1
+                && told.path("instances").path(0).path("why").asText().contains("another program"));
+        rig.part(0b00110, false);
+        assertTrue(rig.floor(3, 3, 5_000));
+        until(4, told -> told.path("barred").asBoolean());
+        for (int i : new int[] {0, 1, 2, 4}) {
+            rig.kill(i);
+            rig.start(i);
+        }
+        rig.untilAll(3);
+        Thread.sleep(300);
+        judged();
+        assertTrue(new Fleetwide(rig.records()).timeline().stream().anyMatch(each -> each.row().text().startsWith(
+                "REFUSED")) || rig.log(4).contains("REFUSED"));
+    }
 }
--- a/peers/src/main/java/vetchrill/peers/Agreement.java
+++ b/peers/src/main/java/vetchrill/peers/Agreement.java
@@ -9,12 +9,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import vetchrill.audit.AuditWriter;
 import vetchrill.audit.HybridTime;
-import vetchrill.transport.Resources;
 import vetchrill.versions.Digests;
 import vetchrill.versions.Memory;
 import vetchrill.versions.Saying;
@@ -49,7 +47,6 @@
     private final HybridTime time;
     private final AuditWriter audit;
     private final Map<String, Heads> heads = new HashMap<>();
-    private final LinkedBlockingQueue<Memory> toKeep = new LinkedBlockingQueue<>();
     private Consumer<Runnable> post;
     private long stack;
     private Sender sender;
@@ -70,7 +67,7 @@
         this.clock = clock;
         this.time = time;
         this.audit = audit;
-        Memory memory = store.read(name);
+        Memory memory = store.memory();
         versions = new Versions(terms, name, zone, text, nonce, memory, seed, clock.getAsLong());
         // Before anything comes: by what it decided last, and nothing before the keepers were heard.
         if (versions.taken() != null) {
@@ -95,26 +92,7 @@
     }
 
     void start() {
-        Resources.daemon("versions-disk", this::keep, stack).start();
-    }
-
-    private void keep() {
-        try {
-            while (true) {
-                Memory memory = toKeep.take();
-                boolean done = true;
-                try {
-                    store.write(memory);
-                } catch (IOException e) {
-                    LOG.log(System.Logger.Level.DEBUG, "not kept: {0}", String.valueOf(e.getMessage()));
-                    done = false;
-                }
-                boolean kept = done;
-                post.accept(() -> versions.kept(kept));
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        store.vault.start(stack);
     }
 
     // On the thread of Peering.
@@ -169,7 +147,7 @@
 
         @Override
         public void keep(Memory memory) {
-            toKeep.add(memory);
+            store.keep(memory, kept -> post.accept(() -> versions.kept(kept)));
         }
 
         @Override
@@ -249,7 +227,9 @@
 
     private void status(ObjectNode answer) {
         long now = clock.getAsLong();
-        answer.put("name", name).put("taken", versions.takenNumber()).put("floor", versions.floor())
+        answer.put("name", name).put("count", versions.count()).put("store", store.found.name())
+                .put("able", versions.standing().able()).put("taken", versions.takenNumber())
+                .put("floor", versions.floor())
                 .put("confirmed", versions.confirmed()).put("barred", versions.barred());
         if (versions.leaseUntil() > Long.MIN_VALUE) {
             answer.put("lease_ms", (versions.leaseUntil() - now) / 10);
--- a/peers/src/main/java/vetchrill/peers/Store.java
+++ b/peers/src/main/java/vetchrill/peers/Store.java
@@ -2,108 +2,120 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
-import java.io.Closeable;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
-import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
-import java.security.MessageDigest;
-import java.util.Arrays;
-import vetchrill.versions.Digests;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import vetchrill.store.Change;
+import vetchrill.store.Disk;
+import vetchrill.store.Journal;
+import vetchrill.store.Vault;
 import vetchrill.versions.Memory;
+import vetchrill.versions.Saying;
+import vetchrill.versions.Version;
 
-/**
- * What one instance must not forget, in one file that is replaced whole: its digest, then CBOR. A file that is damaged
- * counts as none, since a keeper that remembers nothing is taught, and one that remembers wrongly breaks promises.
- */
-public final class Store implements Closeable {
+/** What one instance must not forget, as facts of its store: its memory, the content that it decides by, and more. */
+public final class Store {
     private static final System.Logger LOG = System.getLogger("vetchrill.store");
     private static final ObjectMapper CBOR = new ObjectMapper(new CBORFactory());
-    private static final int DIGEST = 32;
+    private static final String MEMORY = "memory";
+    private static final String CONTENT = "content";
+    /** Wishes that may wait for the disk; past them what would be begun is denied. */
+    private static final int WAITING = 8_192;
 
-    /** What a rig does to it. */
-    public interface Trouble {
-        /** Throws where nothing can be written. */
-        void before() throws IOException;
+    /** A memory without its content, which is written when it changes only. */
+    private record Line(String name, long count, long life, boolean able, long floor, List<Saying.Kept> keepers,
+            Version taken, List<Saying.Noted> versions, List<Saying.Count> seen) {
     }
 
-    private final Path folder;
-    private final Path file;
-    private final FileChannel lock;
-    private final Trouble trouble;
+    private final String name;
+    public final Vault vault;
+    public final Journal.Found found;
+    /** What is wrong with the disk; empty where nothing is. */
+    public final String why;
+    private final TreeMap<String, byte[]> facts;
+    private byte[] contentKept;
 
-    /** Throws IOException where the folder is of no use, or another process has it. */
-    public Store(Path folder, Trouble trouble) throws IOException {
-        this.folder = folder;
-        this.trouble = trouble;
-        Files.createDirectories(folder);
-        file = folder.resolve("memory.cbor");
-        lock = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        FileLock held;
-        try {
-            held = lock.tryLock();
-        } catch (OverlappingFileLockException e) {
-            held = null;
-        }
-        if (held == null) {
-            lock.close();
-            throw new IOException(folder + " is held by another process");
+    /** Reads what is there. Throws IOException where the disk can't be read at all. */
+    public Store(Disk disk, String name, long bound) throws IOException {
+        this.name = name;
+        Journal journal = new Journal(disk, name, bound);
+        found = journal.found();
+        why = journal.why();
+        facts = new TreeMap<>(journal.facts());
+        vault = new Vault(journal, WAITING);
+        if (!why.isEmpty()) {
+            LOG.log(found == Journal.Found.TORN ? System.Logger.Level.INFO : System.Logger.Level.ERROR,
+                    "the store is {0}: {1}", found, why);
         }
     }
 
-    /** Null where there is none of use. */
-    public Memory read(String name) throws IOException {
-        byte[] all;
-        try {
-            all = Files.readAllBytes(file);
-        } catch (NoSuchFileException e) {
+    /** As it was found at the start; null where there is none of use. */
+    public Memory memory() {
+        return memory(name, found, facts);
+    }
+
+    /** The memory in a store that was found so; null for none. */
+    public static Memory memory(String name, Journal.Found found, NavigableMap<String, byte[]> facts) {
+        byte[] line = facts.get(MEMORY);
+        if (line == null) {
             return null;
         }
         try {
-            byte[] body = Arrays.copyOfRange(all, Math.min(DIGEST, all.length), all.length);
-            if (!MessageDigest.isEqual(Digests.sha256().digest(body), Arrays.copyOf(all, DIGEST))) {
-                throw new IOException("its digest is wrong");
-            }
-            Memory memory = CBOR.readValue(body, Memory.class);
-            if (!memory.name().equals(name)) {
-                throw new IOException("it is the memory of " + memory.name());
+            Line read = CBOR.readValue(line, Line.class);
+            if (!read.name.equals(name)) {
+                throw new IOException("it is the memory of " + read.name);
             }
-            return memory;
-        } catch (IOException | RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "{0} is of no use: {1}; this instance remembers nothing", file,
+            // Of a damaged store it is of some earlier time: nothing of it is a promise.
+            boolean able = read.able && found != Journal.Found.DAMAGED;
+            return new Memory(read.name, read.count, read.life, able, read.floor, read.keepers, read.taken,
+                    read.taken == null ? null : facts.get(CONTENT), read.versions, read.seen);
+        } catch (IOException | IllegalArgumentException e) {
+            LOG.log(System.Logger.Level.ERROR, "the memory in the store is of no use: {0}",
                     String.valueOf(e.getMessage()).split("\n")[0]);
             return null;
         }
     }
 
-    /** All of it or nothing, and on the disk when it returns. */
-    public void write(Memory memory) throws IOException {
-        trouble.before();
-        byte[] body = CBOR.writeValueAsBytes(memory);
-        Path fresh = folder.resolve("memory.new");
-        try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer bytes = ByteBuffer.allocate(DIGEST + body.length);
-            bytes.put(Digests.sha256().digest(body)).put(body).flip();
-            while (bytes.hasRemaining()) {
-                out.write(bytes);
+    /** All that was found under keys that begin so, without that beginning. */
+    public NavigableMap<String, byte[]> found(String prefix) {
+        TreeMap<String, byte[]> some = new TreeMap<>();
+        facts.tailMap(prefix, true).forEach((key, value) -> {
+            if (key.startsWith(prefix)) {
+                some.put(key.substring(prefix.length()), value);
             }
-            out.force(true);
-        }
-        Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        try (FileChannel of = FileChannel.open(folder, StandardOpenOption.READ)) {
-            of.force(true);
+        });
+        return some;
+    }
+
+    /** {@code done} is told on the store's thread. One at a time. */
+    public void keep(Memory memory, Vault.Done done) {
+        List<Change> changes = changes(memory, contentKept);
+        byte[] content = memory.content();
+        boolean room = vault.offer(changes, true, kept -> {
+            // A content that did not come to the disk has to be written with the next one.
+            contentKept = kept ? content : null;
+            done.done(kept);
+        });
+        if (!room) {
+            done.done(false);
         }
     }
 
-    @Override
-    public void close() throws IOException {
-        lock.close();
+    /** What has to be written for that memory, where that content is there already; null for none. */
+    public static List<Change> changes(Memory memory, byte[] contentThere) {
+        List<Change> changes = new ArrayList<>();
+        try {
+            changes.add(new Change(MEMORY, CBOR.writeValueAsBytes(new Line(memory.name(), memory.count(),
+                    memory.life(), memory.able(), memory.floor(), memory.keepers(), memory.taken(),
+                    memory.versions(), memory.seen()))));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        if (memory.content() != null && memory.content() != contentThere) {
+            changes.add(new Change(CONTENT, memory.content()));
+        }
+        return changes;
     }
 }
--- a/peers/src/main/java/vetchrill/versions/Floors.java
+++ b/peers/src/main/java/vetchrill/versions/Floors.java
@@ -22,7 +22,8 @@
  * Objects Without Stable Storage", DISC 2017).
  */
 final class Floors {
-    private enum Phase { RECALLING, RECOVERING, ABLE, NO_KEEPER }
+    /** CHECKING: it remembers, and asks whether others remember more of it. */
+    private enum Phase { CHECKING, RECALLING, RECOVERING, ABLE, NO_KEEPER }
 
     private final Terms terms;
     private final String name;
@@ -58,8 +59,9 @@
         dirty = false;
         // The only keeper has nobody to be taught by: what its disk lost is lost.
         boolean only = keeper && terms.keepers().size() == 1;
-        phase = !keeper ? Phase.NO_KEEPER : memory != null && memory.able() || only ? Phase.ABLE : Phase.RECALLING;
-        if (phase == Phase.ABLE) {
+        boolean remembers = memory != null && memory.able();
+        phase = !keeper ? Phase.NO_KEEPER : only ? Phase.ABLE : remembers ? Phase.CHECKING : Phase.RECALLING;
+        if (whole()) {
             life = Math.max(1, life);
             held.put(name, new Kept(name, life, kept));
             dirty = memory == null;
@@ -83,14 +85,8 @@
         if (!(theirs.life() > mine.life() || theirs.life() == mine.life() && theirs.floor() > mine.floor())) {
             return false;
         }
-        if (theirs.keeper().equals(name) && phase != Phase.NO_KEEPER && phase != Phase.RECALLING) {
-            // Others have seen more of this name than it knows itself: its disk is older than its last promise, or
-            // another process has the name. Either way it promises nothing until it was taught.
-            phase = Phase.RECALLING;
-            question = 0;
-            answered.clear();
-            answeredAble.clear();
-            dirty = true;
+        if (theirs.keeper().equals(name)) {
+            doubted();
         }
         held.put(theirs.keeper(), theirs);
         if (theirs.life() > mine.life()) {
@@ -101,6 +97,20 @@
         return true;
     }
 
+    /**
+     * Others have seen more of this name than it knows itself: its disk is older than its last promise, or another
+     * process has the name. Either way it promises nothing until it was taught.
+     */
+    void doubted() {
+        if (phase != Phase.NO_KEEPER && phase != Phase.RECALLING && terms.keepers().size() > 1) {
+            phase = Phase.RECALLING;
+            question = 0;
+            answered.clear();
+            answeredAble.clear();
+            dirty = true;
+        }
+    }
+
     /** {@code at} is when the question goes out. */
     void asks(long number, long at) {
         asked.put(number, at);
@@ -125,15 +135,25 @@
     }
 
     /** True where that was the last answer that was waited for. */
-    boolean recalled(String keeper, long number, boolean able) {
-        if (number != question || !held.containsKey(keeper) || phase != Phase.RECALLING
-                && phase != Phase.RECOVERING) {
+    boolean recalled(String keeper, long number, boolean able, boolean whole) {
+        if (number != question || !held.containsKey(keeper) || !asksOthers()) {
             return false;
         }
         answered.add(keeper);
-        if (able) {
+        // Whoever is being checked itself may tell what it remembers of others, but teaches nobody.
+        if (phase == Phase.CHECKING ? whole : able) {
             answeredAble.add(keeper);
         }
+        if (phase == Phase.CHECKING) {
+            // This one and those are more than half: of all that was promised beside it some of them know.
+            if (answeredAble.size() + 1 < terms.majority() && answered.size() < terms.keepers().size() - 1) {
+                return false;
+            }
+            phase = Phase.ABLE;
+            answered.clear();
+            answeredAble.clear();
+            return true;
+        }
         // All of them where too few remember: a fleet that starts for the first time, or has lost more than it may.
         if (answeredAble.size() < terms.majority() && answered.size() < terms.keepers().size() - 1) {
             return false;
@@ -161,7 +181,7 @@
 
     /** What was to be kept is on the disk. */
     void nowKept(Memory memory) {
-        if (phase == Phase.ABLE && memory.able() && memory.life() == life) {
+        if (whole() && memory.able() && memory.life() == life) {
             kept = Math.max(kept, memory.floor());
             held.put(name, new Kept(name, life, kept));
         }
@@ -169,12 +189,14 @@
 
     // What follows from it.
 
+    /** Questions are out that bind nobody to a life of this one. */
     boolean recalling() {
-        return phase == Phase.RECALLING;
+        return phase == Phase.RECALLING || phase == Phase.CHECKING;
     }
 
-    boolean recovering() {
-        return phase == Phase.RECALLING || phase == Phase.RECOVERING;
+    /** The other keepers are to be asked what they remember. */
+    boolean asksOthers() {
+        return phase == Phase.RECALLING || phase == Phase.RECOVERING || phase == Phase.CHECKING;
     }
 
     /** Nothing but a recovery that is over makes a keeper able, and only what is on its disk makes it answer. */
@@ -182,6 +204,11 @@
         return phase == Phase.ABLE;
     }
 
+    /** Its disk was there and nobody has doubted it. */
+    boolean whole() {
+        return phase == Phase.ABLE || phase == Phase.CHECKING;
+    }
+
     boolean wantsKeeping() {
         boolean wants = dirty || phase == Phase.ABLE && known > kept;
         dirty = false;
@@ -194,7 +221,7 @@
 
     /** What is on this keeper's disk; 0 where it keeps none. */
     long promised() {
-        return phase == Phase.ABLE ? kept : 0;
+        return whole() ? kept : 0;
     }
 
     long life() {
--- a/peers/src/main/java/vetchrill/versions/Saying.java
+++ b/peers/src/main/java/vetchrill/versions/Saying.java
@@ -2,9 +2,13 @@
 
 import java.util.List;
 
-/** One word of an instance to another about versions, floors and leases. Each carries all the news of its speaker. */
-public record Saying(Kind kind, String from, String zone, long nonce, long number, News news, Standing standing,
-        Piece piece) {
+/**
+ * One word of an instance to another about versions, floors and leases. Each carries all the news of its speaker.
+ *
+ * @param ofYou the highest count that the speaker remembers of whom it speaks to; see {@link Memory#count}
+ */
+public record Saying(Kind kind, String from, String zone, long nonce, long number, long ofYou, News news,
+        Standing standing, Piece piece) {
     public enum Kind {
         /** What I know. Answered in kind where the other knows more. */
         STATE,
@@ -35,6 +39,15 @@
         }
     }
 
+    /** How far the disk of an instance has come, as it told itself; see {@link Memory#count}. */
+    public record Count(String name, long count) {
+        public Count {
+            if (name == null || count < 0) {
+                throw new IllegalArgumentException("no count");
+            }
+        }
+    }
+
     /** What a keeper holds for good: the floor that it has promised, in which of its lives. */
     public record Kept(String keeper, long life, long floor) {
         public Kept {
@@ -59,14 +72,16 @@
      * How the speaker itself stands.
      *
      * @param taken the version that it decides by
-     * @param able it is a keeper that remembers all that it promised
+     * @param able it is a keeper that remembers all that it promised, as far as others can tell
+     * @param whole it is a keeper whose disk was there and has not been doubted
+     * @param count what it has on its disk; see {@link Memory#count}
      * @param refused the version that it can't take, 0 for none; and why
      * @param since which version was heard of the counts run
      */
-    public record Standing(long taken, boolean able, long refused, String why, long since, long decided, long denied,
-            long failed, long broken) {
+    public record Standing(long taken, boolean able, boolean whole, long count, long refused, String why, long since,
+            long decided, long denied, long failed, long broken) {
         public Standing {
-            if (taken < 0 || why == null || decided < 0 || denied < 0 || failed < 0 || broken < 0) {
+            if (taken < 0 || count < 0 || why == null || decided < 0 || denied < 0 || failed < 0 || broken < 0) {
                 throw new IllegalArgumentException("no standing");
             }
         }
@@ -82,7 +97,8 @@
     }
 
     public Saying {
-        if (kind == null || from == null || from.isEmpty() || zone == null || news == null || standing == null) {
+        if (kind == null || from == null || from.isEmpty() || zone == null || news == null || standing == null
+                || ofYou < 0) {
             throw new IllegalArgumentException("no saying");
         }
     }
--- a/peers/src/main/java/vetchrill/versions/Versions.java
+++ b/peers/src/main/java/vetchrill/versions/Versions.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import vetchrill.versions.Saying.Count;
 import vetchrill.versions.Saying.Kept;
 import vetchrill.versions.Saying.Kind;
 import vetchrill.versions.Saying.News;
@@ -27,7 +28,7 @@
  */
 public final class Versions {
     /** What may become of it, for whoever keeps the log and the record. */
-    public enum Event { HEARD, TAKEN, REFUSED, FORK, STOPPED, BEHIND, BARRED, FREE, CONFIRMED, DISK }
+    public enum Event { HEARD, TAKEN, REFUSED, FORK, STOPPED, BEHIND, BARRED, FREE, CONFIRMED, DISK, OLDER }
 
     /** What it may ask of its owner. */
     public interface Host {
@@ -53,6 +54,8 @@
     private static final int VERSIONS_KEPT = 4;
     private static final int TOLD_AT_ONCE = 3;
     private static final int ROUNDS_OUT_OF_REACH = 8;
+    /** Words between two times that what others told of their disks is kept. */
+    private static final int COUNTS_EVERY = 8;
     private static final String FORK = "two contents under one number";
 
     /** One version as it is known here. */
@@ -106,7 +109,17 @@
     private final List<Owed> owed = new ArrayList<>();
     private final List<Owed> owedAfter = new ArrayList<>();
     private Memory keeping;
-    private boolean wantKeeping;
+    /** The last one given to the disk, whatever became of it. */
+    private Memory given;
+    /** Of the memory given to the disk last, and of that which is there; see {@link Memory#count}. */
+    private long count;
+    private long countKept;
+    /** What the others told of theirs; kept now and then. */
+    private final TreeMap<String, Long> seenCounts = new TreeMap<>();
+    private boolean seenNews;
+    private long seenAgain;
+    /** Each start is a memory of its own. */
+    private boolean wantKeeping = true;
     private boolean diskBad;
     private long keepAgain;
     private Version taken;
@@ -149,6 +162,11 @@
         nextState = now;
         nextAsk = now;
         if (memory != null) {
+            count = memory.count();
+            countKept = count;
+            for (Count each : memory.seen()) {
+                seenCounts.put(each.name(), each.count());
+            }
             for (Noted each : memory.versions()) {
                 notes.put(each.version().number(), new Note(each.version(), now - each.age(), each.stopped()));
             }
@@ -180,6 +198,13 @@
             // Nobody of this fleet, or another process under this name.
             return;
         }
+        if (said.standing().count() > seenCounts.getOrDefault(said.from(), 0L)) {
+            seenCounts.put(said.from(), said.standing().count());
+            seenNews = true;
+        }
+        if (said.ofYou() > count) {
+            older(said.from(), said.ofYou());
+        }
         boolean below = said.standing().taken() < floors.confirmed();
         seen.put(said.from(), new Seen(said.from(), said.zone(), said.standing(), now));
         merge(said.news(), below);
@@ -205,7 +230,8 @@
                 wantKeeping = true;
             }
             case RECALLED -> {
-                if (floors.recalled(said.from(), said.number(), said.standing().able())) {
+                if (floors.recalled(said.from(), said.number(), said.standing().able(),
+                        said.standing().whole())) {
                     nextAsk = now;
                 }
             }
@@ -214,6 +240,16 @@
         }
     }
 
+    /** This disk is of an earlier day than others have seen, or it was lost, or another process has the name. */
+    private void older(String by, long seen) {
+        tell(Event.OLDER, name, takenNumber(), by + " remembers " + seen + " memories of it, this disk " + countKept
+                + ": it promises nothing until it was taught");
+        count = seen;
+        floors.doubted();
+        wantKeeping = true;
+        nextAsk = now;
+    }
+
     private static long lifeOf(Saying said) {
         for (Kept each : said.news().keepers()) {
             if (each.keeper().equals(said.from())) {
@@ -251,7 +287,7 @@
                 notes.pollFirstEntry();
             }
             if (newest) {
-                count();
+                countFromNow();
             }
             rumour = true;
             tell(Event.HEARD, name, number, "by " + theirs.version().author());
@@ -300,7 +336,7 @@
     }
 
     /** The counts of now are where those since the newest version begin. */
-    private void count() {
+    private void countFromNow() {
         System.arraycopy(counts, 0, base, 0, base.length);
     }
 
@@ -321,6 +357,7 @@
             return;
         }
         diskBad = false;
+        countKept = memory.count();
         long promised = floors.promised();
         floors.nowKept(memory);
         rumour |= floors.promised() > promised;
@@ -336,7 +373,7 @@
             taken = taking.version;
             takenContent = taking.content;
             taking = null;
-            count();
+            countFromNow();
             rumour = true;
             Version version = taken;
             byte[] content = takenContent;
@@ -536,8 +573,8 @@
         }
         if (!toSend.isEmpty()) {
             Outgoing each = toSend.poll();
-            host.send(each.to(), new Saying(each.kind(), name, zone, nonce, each.number(), news(), standing(),
-                    each.piece()));
+            host.send(each.to(), new Saying(each.kind(), name, zone, nonce, each.number(),
+                    seenCounts.getOrDefault(each.to(), 0L), news(), standing(), each.piece()));
             return true;
         }
         return fetch() || asks() || rumours() || judged() || behind() || confirms();
@@ -580,16 +617,27 @@
 
     private boolean keep() {
         wantKeeping |= floors.wantsKeeping();
-        if (!wantKeeping || keeping != null || now < keepAgain) {
+        boolean wants = wantKeeping || seenNews && now >= seenAgain;
+        if (!wants || keeping != null || now < keepAgain) {
             return false;
         }
+        // What is remembered of others alone binds nobody: no news to them.
+        Version next = taking != null ? taking.version : taken;
+        boolean binds = wantKeeping || given == null || floors.known() > given.floor() || floors.life() > given.life()
+                || next != null && (given.taken() == null || next.number() > given.taken().number());
+        count += binds ? 1 : 0;
         wantKeeping = false;
         owedAfter.addAll(owed);
         owed.clear();
         Note with = taking;
         List<Noted> versions = noted();
-        keeping = new Memory(name, floors.life(), floors.able(), floors.known(), floors.keepers(),
-                with != null ? with.version : taken, with != null ? with.content : takenContent, versions);
+        List<Count> counts = new ArrayList<>();
+        seenCounts.forEach((of, seen) -> counts.add(new Count(of, seen)));
+        seenNews = false;
+        seenAgain = now + terms.every() * COUNTS_EVERY;
+        keeping = new Memory(name, count, floors.life(), floors.whole(), floors.known(), floors.keepers(),
+                with != null ? with.version : taken, with != null ? with.content : takenContent, versions, counts);
+        given = keeping;
         host.keep(keeping);
         return true;
     }
@@ -637,7 +685,7 @@
         }
         nextAsk = now + Math.max(1, Math.min(terms.lease() / 4, terms.every() * 2));
         long number = ++numbers;
-        if (floors.recovering()) {
+        if (floors.asksOthers()) {
             long question = floors.asksAgain(chance.nextLong() & Long.MAX_VALUE | 1);
             Kind kind = floors.recalling() ? Kind.RECALL : Kind.RECOVER;
             for (String each : terms.keepers()) {
@@ -773,8 +821,8 @@
             counted[i] = Math.max(0, counts[i] - base[i]);
         }
         String why = refused.getOrDefault(newest, diskBad ? "its disk keeps nothing" : "");
-        return new Standing(takenNumber(), floors.able(), why.isEmpty() ? 0 : newest, why, newest, counted[0],
-                counted[1], counted[2], counted[3]);
+        return new Standing(takenNumber(), floors.able(), floors.whole(), countKept, why.isEmpty() ? 0 : newest, why,
+                newest, counted[0], counted[1], counted[2], counted[3]);
     }
 
     private long newest() {
@@ -794,6 +842,11 @@
         return takenContent;
     }
 
+    /** How far this instance's disk has come; see {@link Memory#count}. */
+    public long count() {
+        return countKept;
+    }
+
     /** The highest floor that was ordered, as far as heard of here. */
     public long floor() {
         return floors.known();
@@ -830,6 +883,9 @@
         if (wantKeeping && keeping == null) {
             at = Math.min(at, keepAgain);
         }
+        if (seenNews && keeping == null) {
+            at = Math.min(at, Math.max(keepAgain, seenAgain));
+        }
         if (!barred && !terms.serveAlone()) {
             at = Math.min(at, until());
         }
