--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The usual steps; CI calls the command of `test` by itself.
 .PHONY: build instance test lint run measure-planner measure-fuzz measure-cost measure-members \
-	measure-audit clean
+	measure-audit measure-recovery clean
 
 build:
 	mvn -B -ntp -Dmaven.test.skip=true package
@@ -51,5 +51,9 @@
 measure-audit: build
 	bin/vetchrill measure-audit --plays $(PLAYS) --first-seed $(FIRST_SEED)
 
+# Some ten minutes, most of them for planted faults; wants the machine to itself.
+measure-recovery: build
+	bin/vetchrill measure-recovery --plays $(PLAYS) --first-seed $(FIRST_SEED)
+
 clean:
 	mvn -B -ntp clean
