--- a/lab/src/main/java/vetchrill/tool/VersionsCommand.java
+++ b/lab/src/main/java/vetchrill/tool/VersionsCommand.java
@@ -79,8 +79,8 @@
             missed += world.loss > 0 && chance.nextDouble() < world.loss || away[i] && fault == Fault.TENTH_CUT_OFF
                     ? 1 : 0;
         }
-        return new Outcome(took, under, size - took.size(), missed, (world.bytes - bytes) / ((world.now() - at) / 10_000.0)
-                / size);
+        double seconds = (world.now() - at) / 10_000.0;
+        return new Outcome(took, under, size - took.size(), missed, (world.bytes - bytes) / seconds / size);
     }
 
     /**
