--- a/fuzz/src/main/java/vetchrill/fuzz/MeasureAuditCommand.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/MeasureAuditCommand.java
@@ -133,16 +133,7 @@
     }
 
     private void drawn() {
-        List<byte[]> all = new ArrayList<>();
-        java.util.SplittableRandom chance = new java.util.SplittableRandom(first);
-        for (int i = 0; i < schedules; i++) {
-            byte[] script = new byte[10 + 4 * (4 + chance.nextInt(24))];
-            for (int j = 0; j < script.length; j++) {
-                script[j] = (byte) chance.nextInt();
-            }
-            all.add(script);
-        }
-        all.parallelStream().forEach(script -> {
+        VersionsTarget.SCRIPTS.drawn(first, schedules).parallelStream().forEach(script -> {
             try {
                 new VersionsTarget().run(script);
             } catch (RuntimeException e) {
--- a/fuzz/src/main/java/vetchrill/fuzz/MeasureRecoveryCommand.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/MeasureRecoveryCommand.java
@@ -5,16 +5,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.LongAdder;
-import java.util.stream.IntStream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import vetchrill.files.Folders;
 import vetchrill.fuzz.targets.RecoveryTarget;
-import vetchrill.peersim.VersionsWorld;
+import vetchrill.fuzz.targets.VersionsTarget;
 import vetchrill.standin.AuditPlay;
 import vetchrill.standin.PowerPlay;
 import vetchrill.tool.ToolCommand;
@@ -24,9 +22,6 @@
         description = "Play real processes that lose power together, drawn schedules with real stores, and planted "
                 + "faults. Exit code 1 where something does not hold.")
 public final class MeasureRecoveryCommand implements Callable<Integer>, ToolCommand {
-    private static final int HEAD = 10;
-    private static final int STEP = 4;
-
     @Option(names = "--processes", defaultValue = "5", description = "Of each play, 4 or more (${DEFAULT-VALUE}).")
     private int processes;
 
@@ -94,21 +89,11 @@
     }
 
     private void drawn(LongAdder lost) {
-        SplittableRandom chance = new SplittableRandom(first);
-        List<byte[]> all = new ArrayList<>();
-        for (int i = 0; i < schedules; i++) {
-            byte[] script = new byte[HEAD + STEP * (4 + chance.nextInt(24))];
-            for (int j = 0; j < script.length; j++) {
-                script[j] = (byte) chance.nextInt();
-            }
-            all.add(script);
-        }
-        IntStream.range(0, schedules).parallel().forEach(i -> {
+        VersionsTarget.SCRIPTS.drawn(first, schedules).parallelStream().forEach(script -> {
             try {
-                VersionsWorld world = RecoveryTarget.play(all.get(i));
-                lost.add(world.losses);
+                lost.add(RecoveryTarget.play(script).losses);
             } catch (RuntimeException e) {
-                wrong.add("schedule " + java.util.HexFormat.of().formatHex(all.get(i)) + ": " + e.getMessage());
+                wrong.add("schedule " + java.util.HexFormat.of().formatHex(script) + ": " + e.getMessage());
             }
         });
         System.out.printf("schedules: %d drawn%n", schedules);
--- a/fuzz/src/main/java/vetchrill/fuzz/Scripts.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/Scripts.java
@@ -7,6 +7,11 @@
 
 /** Inputs that are a head and then steps of so many octets each, as the scripts of what is simulated are. */
 public record Scripts(int head, int step, int most) {
+    /** Octets past which nothing of a script is played. */
+    public int longest() {
+        return head + step * most;
+    }
+
     /** A few to begin with, of so many steps. */
     public List<byte[]> seeds(int from, int steps) {
         List<byte[]> seeds = new ArrayList<>();
@@ -21,6 +26,29 @@
         return seeds;
     }
 
+    /** A story as a script, its head empty. */
+    public byte[] told(int[][] story) {
+        byte[] script = new byte[head + step * story.length];
+        for (int i = 0; i < step * story.length; i++) {
+            script[head + i] = (byte) story[i / step][i % step];
+        }
+        return script;
+    }
+
+    /** So many of four to 27 steps each, every octet drawn. */
+    public List<byte[]> drawn(long seed, int n) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        List<byte[]> all = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            byte[] script = new byte[head + step * (4 + chance.nextInt(24))];
+            for (int j = 0; j < script.length; j++) {
+                script[j] = (byte) chance.nextInt();
+            }
+            all.add(script);
+        }
+        return all;
+    }
+
     /** A step is put in, taken out, moved, or made another; or all of it is played in another order of things. */
     public byte[] mutate(byte[] input, SplittableRandom chance) {
         int steps = (input.length - head) / step;
@@ -51,6 +79,6 @@
             }
             default -> System.arraycopy(input, head + step * chance.nextInt(steps), out, at, step);
         }
-        return out.length > head + step * most ? Arrays.copyOf(out, head + step * most) : out;
+        return out.length > longest() ? Arrays.copyOf(out, longest()) : out;
     }
 }
--- a/fuzz/src/main/java/vetchrill/fuzz/targets/RecoveryTarget.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/RecoveryTarget.java
@@ -19,16 +19,13 @@
  * for its keepers, eight of seed, then steps of four.
  */
 public final class RecoveryTarget implements Target {
-    private static final int HEAD = 10;
-    private static final int STEP = 4;
-    private static final int MOST_STEPS = 40;
-    private static final long LEASE = 20_000;
-    private static final long EVERY = 2_000;
+    private static final Scripts SCRIPTS = VersionsTarget.SCRIPTS;
+    private static final long LEASE = VersionsTarget.LEASE;
+    private static final long EVERY = VersionsTarget.EVERY;
     /** Steps that {@link VersionsTarget} knows; those of stores follow. A second process has no media of its own. */
     private static final int OTHERS = 23;
     private static final int TWIN = 21;
     private static final int STEPS = OTHERS + 9;
-    private static final Scripts SCRIPTS = new Scripts(HEAD, STEP, MOST_STEPS);
 
     @Override
     public String name() {
@@ -47,7 +44,7 @@
 
     /** The world as it ends, for whoever counts. */
     public static VersionsWorld play(byte[] input) {
-        Draws draws = new Draws(Arrays.copyOf(input, Math.min(input.length, HEAD + STEP * MOST_STEPS)));
+        Draws draws = new Draws(Arrays.copyOf(input, Math.min(input.length, SCRIPTS.longest())));
         int size = 3 + draws.octet() % 4;
         int of = draws.octet();
         int keepers = of % 3 == 0 && size >= 5 ? 5 : 3;
@@ -123,11 +120,7 @@
             {{13, 0, 0, 7}, {20, 0, 0, 10}, {lose, 0, 0, 0}, {spoil, 2, 0, 40}, {back, 0, 0, 0}, {20, 0, 0, 30}},
         };
         for (int[][] story : stories) {
-            byte[] seed = new byte[HEAD + STEP * story.length];
-            for (int j = 0; j < STEP * story.length; j++) {
-                seed[HEAD + j] = (byte) story[j / STEP][j % STEP];
-            }
-            seeds.add(seed);
+            seeds.add(SCRIPTS.told(story));
         }
         return seeds;
     }
--- a/fuzz/src/main/java/vetchrill/fuzz/targets/StoreTarget.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/StoreTarget.java
@@ -21,9 +21,7 @@
  * seed, then steps of three.
  */
 public final class StoreTarget implements Target {
-    private static final int HEAD = 8;
-    private static final int STEP = 3;
-    private static final Scripts SCRIPTS = new Scripts(HEAD, STEP, 60);
+    private static final Scripts SCRIPTS = new Scripts(8, 3, 60);
     private static final long BOUND = Journal.LEAST_BOUND;
     private static final String OWNER = "r1";
 
@@ -160,9 +158,9 @@
 
     @Override
     public void run(byte[] input) {
-        Draws draws = new Draws(Arrays.copyOf(input, Math.min(input.length, HEAD + STEP * 60)));
+        Draws draws = new Draws(Arrays.copyOf(input, Math.min(input.length, SCRIPTS.longest())));
         long seed = 0;
-        for (int i = 0; i < HEAD; i++) {
+        for (int i = 0; i < SCRIPTS.head(); i++) {
             seed = seed << 8 | draws.octet();
         }
         try {
--- a/fuzz/src/main/java/vetchrill/fuzz/targets/VersionsTarget.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/VersionsTarget.java
@@ -20,9 +20,9 @@
     private static final int HEAD = 10;
     private static final int STEP = 4;
     private static final int MOST_STEPS = 40;
-    private static final long LEASE = 20_000;
-    private static final long EVERY = 2_000;
-    private static final Scripts SCRIPTS = new Scripts(HEAD, STEP, MOST_STEPS);
+    static final long LEASE = 20_000;
+    static final long EVERY = 2_000;
+    public static final Scripts SCRIPTS = new Scripts(HEAD, STEP, MOST_STEPS);
 
     @Override
     public String name() {
@@ -36,7 +36,7 @@
 
     @Override
     public void run(byte[] input) {
-        Draws draws = new Draws(Arrays.copyOf(input, Math.min(input.length, HEAD + STEP * MOST_STEPS)));
+        Draws draws = new Draws(Arrays.copyOf(input, Math.min(input.length, SCRIPTS.longest())));
         int size = 3 + draws.octet() % 6;
         int of = draws.octet();
         int keepers = of % 3 == 0 && size >= 5 ? 5 : 3;
@@ -172,12 +172,9 @@
         for (int i = 0; i < stories.length + ofFive.length; i++) {
             boolean five = i >= stories.length;
             int[][] story = five ? ofFive[i - stories.length] : stories[i];
-            byte[] seed = new byte[HEAD + STEP * story.length];
+            byte[] seed = SCRIPTS.told(story);
             seed[0] = (byte) (five ? 3 : 2);
             seed[1] = (byte) (five ? 0 : 1);
-            for (int j = 0; j < STEP * story.length; j++) {
-                seed[HEAD + j] = (byte) story[j / STEP][j % STEP];
-            }
             seeds.add(seed);
         }
         return seeds;
--- a/lab/src/main/java/vetchrill/peering/Rigged.java
+++ b/lab/src/main/java/vetchrill/peering/Rigged.java
@@ -14,21 +14,20 @@
 
 /**
  * What a rig does to one process of its own, by a file that it may change at any time: words {@code clock_ms=N}, by
- * which the system's clock is off, and {@code disk=full}; each call of the store's disk takes
- * {@code stall_ms=N} longer. What the store has not synced goes with the process, as it does with the
- * power, but for some of it at {@code spill=P} of its calls, drawn by {@code seed=S}; {@code lose_at=N}, read at the
- * start: the power goes at the Nth write point. Nothing of it is there without {@code serve --rigged}.
+ * which the system's clock is off, and {@code disk=full}. What the store has not synced goes with the process, as it
+ * does with the power, but for some of it, drawn by {@code seed=S}; {@code lose_at=N}, read at the start: the power
+ * goes at the Nth write point. Nothing of it is there without {@code serve --rigged}.
  */
 public final class Rigged implements AuditWriter.Disk {
     private static final int EVERY_MS = 10;
+    /** Part of the calls at which some of what is not synced comes to the disk all the same. */
+    private static final double SPILL = 0.3;
     /** What a process exits with whose power went at a write point. */
-    public static final int GONE = 137;
+    private static final int GONE = 137;
 
     private final Path file;
     private volatile long off;
     private volatile boolean full;
-    private volatile long stall;
-    private double spill = 0.3;
     private long loseAt;
     private long seed;
     private long points;
@@ -59,14 +58,9 @@
         try {
             long by = 0;
             boolean is = false;
-            long held = 0;
             for (String word : Files.readString(file).split("\\s+")) {
                 String value = word.substring(word.indexOf('=') + 1);
-                if (word.startsWith("stall_ms=")) {
-                    held = Long.parseLong(value);
-                } else if (word.startsWith("spill=")) {
-                    spill = Double.parseDouble(value);
-                } else if (word.startsWith("lose_at=")) {
+                if (word.startsWith("lose_at=")) {
                     loseAt = Long.parseLong(value);
                 } else if (word.startsWith("seed=")) {
                     seed = Long.parseLong(value);
@@ -78,7 +72,6 @@
             }
             off = by;
             full = is;
-            stall = held;
         } catch (IOException | NumberFormatException e) {
             // It is being written just now: the next look reads it whole.
         }
@@ -101,7 +94,7 @@
         if (file == null) {
             return held;
         }
-        return new LosingDisk(new FolderMedia(folder), new SplittableRandom(seed), spill, call -> point());
+        return new LosingDisk(new FolderMedia(held, folder), new SplittableRandom(seed), SPILL, call -> point());
     }
 
     private void point() throws IOException {
@@ -109,13 +102,6 @@
             // No hook runs, no stream is flushed: as the power goes.
             Runtime.getRuntime().halt(GONE);
         }
-        if (stall > 0) {
-            try {
-                Thread.sleep(stall);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
         before();
     }
 
--- a/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
+++ b/lab/src/main/java/vetchrill/peersim/VersionsWorld.java
@@ -282,17 +282,25 @@
         return true;
     }
 
-    private boolean spoilt(int place, Runnable act) {
+    /** Noted as one that forgets, unless more than half of the keepers would not remember then. */
+    private boolean mayForget(int place) {
         if (place < keepers) {
             int lost = 1;
             for (int i = 0; i < keepers; i++) {
                 lost += forgetful[i] && i != place ? 1 : 0;
             }
-            if (lost > (keepers - 1) / 2 || !remembered(place)) {
+            if (lost > (keepers - 1) / 2) {
                 return false;
             }
             forgetful[place] = true;
         }
+        return true;
+    }
+
+    private boolean spoilt(int place, Runnable act) {
+        if (place < keepers && !remembered(place) || !mayForget(place)) {
+            return false;
+        }
         if (processes[place].up) {
             kill(place);
         }
@@ -359,15 +367,8 @@
      * that nothing is promised.
      */
     public boolean loseDisk(int place, Memory instead) {
-        if (place < keepers) {
-            int lost = 1;
-            for (int i = 0; i < keepers; i++) {
-                lost += forgetful[i] && i != place ? 1 : 0;
-            }
-            if (lost > (keepers - 1) / 2) {
-                return false;
-            }
-            forgetful[place] = true;
+        if (!mayForget(place)) {
+            return false;
         }
         kill(place);
         if (media != null) {
--- a/lab/src/main/java/vetchrill/powerloss/FolderMedia.java
+++ b/lab/src/main/java/vetchrill/powerloss/FolderMedia.java
@@ -3,37 +3,35 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.List;
+import vetchrill.store.FolderDisk;
 
-/** The media of a real process: what stands in this folder outlives the process that is killed. */
+/** The media of a real process: what stands in its folder outlives the process that is killed. */
 public final class FolderMedia implements Media {
+    private final FolderDisk disk;
     private final Path folder;
 
-    public FolderMedia(Path folder) throws IOException {
+    /** {@code disk} is of that folder, and holds it for this process. */
+    public FolderMedia(FolderDisk disk, Path folder) {
+        this.disk = disk;
         this.folder = folder;
-        Files.createDirectories(folder);
     }
 
     @Override
     public List<String> names() throws IOException {
-        try (var files = Files.list(folder)) {
-            return files.filter(Files::isRegularFile).map(each -> each.getFileName().toString())
-                    .filter(each -> !each.equals("lock")).sorted().toList();
-        }
+        return disk.names();
     }
 
     @Override
     public byte[] read(String name) throws IOException {
-        return Files.readAllBytes(folder.resolve(name));
+        return disk.read(name);
     }
 
     @Override
     public void create(String name) throws IOException {
-        Files.write(folder.resolve(name), new byte[0]);
+        disk.create(name).close();
     }
 
     @Override
@@ -48,11 +46,11 @@
 
     @Override
     public void rename(String from, String to) throws IOException {
-        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.REPLACE_EXISTING);
+        disk.rename(from, to);
     }
 
     @Override
     public void delete(String name) throws IOException {
-        Files.deleteIfExists(folder.resolve(name));
+        disk.delete(name);
     }
 }
--- a/peers/src/main/java/vetchrill/peers/Store.java
+++ b/peers/src/main/java/vetchrill/peers/Store.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.NavigableMap;
-import java.util.TreeMap;
 import vetchrill.store.Change;
 import vetchrill.store.Disk;
 import vetchrill.store.Journal;
@@ -29,21 +28,19 @@
             Version taken, List<Saying.Noted> versions, List<Saying.Count> seen) {
     }
 
-    private final String name;
     public final Vault vault;
     public final Journal.Found found;
     /** What is wrong with the disk; empty where nothing is. */
     public final String why;
-    private final TreeMap<String, byte[]> facts;
+    private final Memory memory;
     private byte[] contentKept;
 
     /** Reads what is there. Throws IOException where the disk can't be read at all. */
     public Store(Disk disk, String name, long bound) throws IOException {
-        this.name = name;
         Journal journal = new Journal(disk, name, bound);
         found = journal.found();
         why = journal.why();
-        facts = new TreeMap<>(journal.facts());
+        memory = memory(name, found, journal.facts());
         vault = new Vault(journal, WAITING);
         if (!why.isEmpty()) {
             LOG.log(found == Journal.Found.TORN ? System.Logger.Level.INFO : System.Logger.Level.ERROR,
@@ -53,7 +50,7 @@
 
     /** As it was found at the start; null where there is none of use. */
     public Memory memory() {
-        return memory(name, found, facts);
+        return memory;
     }
 
     /** The memory in a store that was found so; null for none. */
@@ -78,17 +75,6 @@
         }
     }
 
-    /** All that was found under keys that begin so, without that beginning. */
-    public NavigableMap<String, byte[]> found(String prefix) {
-        TreeMap<String, byte[]> some = new TreeMap<>();
-        facts.tailMap(prefix, true).forEach((key, value) -> {
-            if (key.startsWith(prefix)) {
-                some.put(key.substring(prefix.length()), value);
-            }
-        });
-        return some;
-    }
-
     /** {@code done} is told on the store's thread. One at a time. */
     public void keep(Memory memory, Vault.Done done) {
         List<Change> changes = changes(memory, contentKept);
--- a/peers/src/main/java/vetchrill/store/Journal.java
+++ b/peers/src/main/java/vetchrill/store/Journal.java
@@ -45,7 +45,7 @@
         }
     }
 
-    static final int HEAD = 20;
+    private static final int HEAD = 20;
     private static final int MAGIC = 0x5646524d;
     private static final String FORMAT = "VFACTS01";
     private static final byte FIRST = 'H';
@@ -64,7 +64,7 @@
     /** Least that can be said to be a bound: four parts of it hold a log or a snapshot each. */
     public static final long LEAST_BOUND = 1 << 16;
 
-    private record Head(String owner, long follows, int size) {
+    private record Head(long follows, int size) {
     }
 
     /** A frame as it lies in a file. */
@@ -91,8 +91,6 @@
     private long follows;
     /** Octets of the snapshot that are due for what went to the log since. */
     private long owed;
-    /** Commits that had to wait for the end of a snapshot. */
-    private long stalls;
     /** What lies there that must not be written over, as it may be of use to staff. */
     private boolean toPutAside;
     /** Octets of each file that counts. */
@@ -281,7 +279,7 @@
         if (!its.equals(owner)) {
             broken(Found.FOREIGN, "it belongs to " + its);
         }
-        return new Head(its, frame.number, frame.next);
+        return new Head(frame.number, frame.next);
     }
 
     /** Null where there is no whole one. */
@@ -341,7 +339,7 @@
      * {@code binding} may use what is kept free for such.
      */
     public void commit(List<Change> changes, boolean binding) throws IOException {
-        byte[] frame = group(changes, commits + 1);
+        byte[] frame = frame(GROUP, commits + 1, body(changes));
         long grows = 0;
         for (Change each : changes) {
             byte[] before = facts.get(each.key());
@@ -355,11 +353,8 @@
             if (log == null) {
                 next();
             } else if (logBytes + frame.length > mostLog) {
-                if (snap != null) {
-                    stalls++;
-                    while (snap != null) {
-                        slice();
-                    }
+                while (snap != null) {
+                    slice();
                 }
                 next();
             }
@@ -389,11 +384,7 @@
     /** Another log, and beside it another snapshot of what is held now. */
     private void next() throws IOException {
         close();
-        for (String each : List.copyOf(abandoned)) {
-            disk.delete(each);
-            sizes.remove(each);
-            abandoned.remove(each);
-        }
+        giveUp();
         if (bytes() + live + HEADS > bound) {
             throw new IOException("no room for another snapshot before an older log could be given up");
         }
@@ -469,6 +460,10 @@
         if (toPutAside) {
             putAside();
         }
+        giveUp();
+    }
+
+    private void giveUp() throws IOException {
         for (String each : List.copyOf(abandoned)) {
             disk.delete(each);
             sizes.remove(each);
@@ -507,10 +502,6 @@
         return frame.putInt(8, (int) crc.getValue()).array();
     }
 
-    private static byte[] group(List<Change> changes, long number) {
-        return frame(GROUP, number, body(changes));
-    }
-
     private static byte[] body(List<Change> changes) {
         List<byte[]> keys = new ArrayList<>();
         int size = 0;
@@ -566,17 +557,8 @@
         return commits;
     }
 
-    /** Octets of what is held. */
-    public long live() {
-        return live;
-    }
-
-    public long stalls() {
-        return stalls;
-    }
-
     /** Octets of all files that count; such as were put aside come on top of it. */
-    public long bytes() {
+    private long bytes() {
         long all = 0;
         for (long each : sizes.values()) {
             all += each;
--- a/peers/src/main/java/vetchrill/store/Vault.java
+++ b/peers/src/main/java/vetchrill/store/Vault.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.atomic.AtomicLong;
 import vetchrill.transport.Resources;
 
 /**
@@ -26,10 +25,6 @@
 
     private final Journal journal;
     private final LinkedBlockingQueue<Wish> wishes;
-    private final AtomicLong kept = new AtomicLong();
-    private final AtomicLong refused = new AtomicLong();
-    private final AtomicLong syncs = new AtomicLong();
-    private final AtomicLong longest = new AtomicLong();
     private boolean failing;
 
     /** {@code most} wishes wait at a time. */
@@ -44,11 +39,7 @@
 
     /** False where too many wait already: nothing is kept then, and nobody told. On any thread, never waits. */
     public boolean offer(List<Change> changes, boolean binding, Done done) {
-        boolean room = wishes.offer(new Wish(List.copyOf(changes), binding, done));
-        if (!room) {
-            refused.incrementAndGet();
-        }
-        return room;
+        return wishes.offer(new Wish(List.copyOf(changes), binding, done));
     }
 
     private void run() {
@@ -112,7 +103,6 @@
             together.forEach(this::alone);
             return;
         } catch (IOException e) {
-            refused.addAndGet(changes.size());
             tell(e);
         }
         for (Wish each : together) {
@@ -126,22 +116,14 @@
             commit(wish.changes, wish.binding);
             is = true;
         } catch (IOException e) {
-            refused.addAndGet(wish.changes.size());
             tell(e);
         }
         wish.done.done(is);
     }
 
     private void commit(List<Change> changes, boolean binding) throws IOException {
-        long began = System.nanoTime();
-        try {
-            journal.commit(changes, binding);
-            syncs.incrementAndGet();
-            kept.addAndGet(changes.size());
-            failing = false;
-        } finally {
-            longest.accumulateAndGet(System.nanoTime() - began, Math::max);
-        }
+        journal.commit(changes, binding);
+        failing = false;
     }
 
     private void tell(IOException e) {
@@ -150,9 +132,4 @@
             LOG.log(System.Logger.Level.ERROR, "the store keeps nothing: {0}", String.valueOf(e.getMessage()));
         }
     }
-
-    /** Facts kept since the start, groups in which they were, facts refused, and the longest commit in ns. */
-    public long[] counts() {
-        return new long[] {kept.get(), syncs.get(), refused.get(), longest.get()};
-    }
 }
