Closes linger, a drain answers before its closing marks, signals count from the first moment

Read line by line for events that cross, each seen first in a test that forces the bad order:

Now a lingering close: all that was given before the mark is written, the output is shut (half-close), what comes is read past up to a bound in time and bytes, then the socket is closed. What is given after the mark is not written. - Book.makeRoom and closeIdle judged by whole frames only: a request that had come in part, or lay unread because this process had no core, was cut. Both keep a connection now; the longest idle is told (type 64) before it is closed, and closed at once only when descriptors run out. - Chain.accepted closed a connection past the limit after half a second with whatever it had brought. It waits unaccepted, then is taken and told, where descriptors are left; 24 are kept for the link, reports and the runtime. - Listener.close reset the backlog: it is emptied first, and the word that nothing new is taken goes out after that. - Chain.closeAll could put its marks before the answers that the look before the stop was to give (that look late on a crowded core); the end did not wait for the decision thread at all. What is owed goes out first, then the marks. An earlier stop that is read during a drain holds; a later one does not. - MembershipCall bounded each read, not the call: an answer in pieces held up the next report for seconds. A report after one without an answer is said again soon, as the first may arrive last. - A rid of digits of other scripts was passed on to the interpreter, which may hang up on it.

Tests changed, not eased: the longest idle is now told before it is closed, so the story of the full table reads that frame as well as the end; GuardedTest's pipe has the new method. The simulated chain knows half-closes and resets over unread bytes, and asks that no socket is kept. Renamed: closeWhenSent is close (a lingering close), as the field has it.

--- a/fuzz/src/main/java/vetchrill/fuzz/chain/ChainRun.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/ChainRun.java
@@ -202,6 +202,7 @@
     private void reads(Job job) {
         SimPipe pipe = (SimPipe) job.pipe();
         pipe.reader = job;
+        pipe.taken = true;
         ready(pipe);
     }
 
@@ -461,7 +462,7 @@
         stopAt = now() + STOP;
         ledger.leftAt = now();
         long unixStop = UNIX + stopAt;
-        for (Drain step : Drain.steps(limits, chain, unixStop, () -> { }, () -> {
+        for (Drain step : Drain.steps(limits, chain, unixStop - STOP, unixStop, () -> { }, () -> {
             ledger.rest(true, stopAt);
             over = true;
         })) {
@@ -509,6 +510,9 @@
         if (Inside.connections(chain) != 0) {
             throw new Finding("a connection is kept for good");
         }
+        if (stubs.stream().anyMatch(stub -> !stub.pipe.closed && stub.pipe.taken)) {
+            throw new Finding("a socket is kept for good");
+        }
     }
 
     /** A denial now and then is the module's right; no service at all, with nothing wrong any more, is not. */
--- a/fuzz/src/main/java/vetchrill/fuzz/chain/Ledger.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/Ledger.java
@@ -15,7 +15,7 @@
     private static final long SLACK = 500 + 1_200;
 
     /** What a writer takes to write what it was given, unless its peer is stalled. */
-    private static final long ON_ITS_WAY = 100;
+    static final long ON_ITS_WAY = 100;
 
     static final class Ex {
         final String id;
--- a/fuzz/src/main/java/vetchrill/fuzz/chain/SimInterpreter.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/SimInterpreter.java
@@ -61,7 +61,12 @@
         }
 
         @Override
-        public void closed() {
+        public void ended() {
+            // The chain closes its links at once.
+        }
+
+        @Override
+        public void closed(boolean unread) {
             cut = true;
             link = link == this ? null : link;
         }
--- a/fuzz/src/main/java/vetchrill/fuzz/chain/SimPipe.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/SimPipe.java
@@ -11,18 +11,25 @@
     interface Peer {
         void written(byte[] bytes);
 
-        void closed();
+        /** Nothing more comes; the peer may still send. */
+        void ended();
+
+        /** {@code unread}: over bytes that the chain had not read, which is a reset. */
+        void closed(boolean unread);
     }
 
     final Peer peer;
     /** Whoever reads this side; null once it has ended. */
     Job reader;
+    /** The chain has had it. */
+    boolean taken;
     private byte[] in = new byte[0];
     private int at;
     /** Bytes that the chain has read in all. */
     long consumed;
     private boolean ended;
     private boolean reset;
+    private boolean shutOutput;
     boolean closed;
     /** Its peer takes nothing until then. */
     long stalledUntil;
@@ -83,7 +90,7 @@
 
     @Override
     public void write(byte[] buf, int from, int size) throws IOException {
-        if (closed || reset) {
+        if (closed || reset || shutOutput) {
             throw new IOException("Broken pipe");
         }
         if (size > 0) {
@@ -91,11 +98,24 @@
         }
     }
 
+    @Override
+    public boolean hasUnread() {
+        return !closed && at < in.length;
+    }
+
+    @Override
+    public void shutdownOutput() {
+        if (!shutOutput && !closed && !reset) {
+            shutOutput = true;
+            peer.ended();
+        }
+    }
+
     @Override
     public void close() {
         if (!closed) {
             closed = true;
-            peer.closed();
+            peer.closed(!reset && at < in.length);
         }
     }
 }
--- a/fuzz/src/main/java/vetchrill/fuzz/chain/SimStub.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/chain/SimStub.java
@@ -22,6 +22,7 @@
     private final List<Ledger.Ex> sent = new ArrayList<>();
     private int noted;
     private long sentBytes;
+    private long lastHeard = Long.MIN_VALUE / 2;
     int streams;
     boolean rude;
     boolean gone;
@@ -73,6 +74,7 @@
         if (gone) {
             return;
         }
+        lastHeard = run.now();
         heard = SimPipe.joined(heard, bytes);
         while (heard.length >= 4) {
             int length = (heard[0] & 0xff) << 24 | (heard[1] & 0xff) << 16 | (heard[2] & 0xff) << 8 | heard[3] & 0xff;
@@ -116,8 +118,23 @@
         }
     }
 
+    /** A stub closes what was closed by the other side; a rude one holds on to it for good. */
     @Override
-    public void closed() {
+    public void ended() {
+        if (!gone) {
+            gone = true;
+            run.ledger.closed(this, run.now());
+            if (!rude) {
+                halfShut();
+            }
+        }
+    }
+
+    @Override
+    public void closed(boolean unread) {
+        if (unread && !stalls && run.now() - lastHeard < Ledger.ON_ITS_WAY) {
+            throw new Finding("answers that were just written go with a reset");
+        }
         if (!gone) {
             gone = true;
             run.ledger.closed(this, run.now());
--- a/instance/src/main/java/vetchrill/protocol/MembershipCall.java
+++ b/instance/src/main/java/vetchrill/protocol/MembershipCall.java
@@ -23,6 +23,7 @@
     private final Limits limits;
     private Socket socket;
     private InetSocketAddress socketTo;
+    private Timed in;
 
     public MembershipCall(InetSocketAddress address, String name, Limits limits) {
         this.address = address;
@@ -68,27 +69,62 @@
     }
 
     private int once(boolean up, InetSocketAddress to) throws IOException {
+        // For all of the call: one that comes in pieces would else hold up the next report for as many waits.
+        long until = System.nanoTime() + limits.reportWait * 100_000;
         if (socket == null) {
             Socket fresh = new Socket();
             socket = fresh;
             socketTo = to;
             fresh.setTcpNoDelay(true);
-            fresh.setSoTimeout((int) (limits.reportWait / 10));
             fresh.connect(to, (int) (limits.reportWait / 10));
+            in = new Timed(fresh);
         }
+        in.until = until;
         String body = up ? "{\"phase\":\"UP\"}" : "{\"phase\":\"OUT\"}";
         String call = "PUT /members/" + name + " HTTP/1.1\r\nHost: " + to.getHostString() + ":"
                 + to.getPort() + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
                 + "\r\n\r\n" + body;
         OutputStream out = socket.getOutputStream();
         out.write(call.getBytes(StandardCharsets.US_ASCII));
-        Answer answer = read(socket.getInputStream());
-        if (!answer.lasts) {
+        Answer answer = read(in);
+        if (!answer.lasts || in.at < in.filled) {
             close();
         }
         return answer.code;
     }
 
+    /** What a socket gives until a time, read in pieces as large as they come. */
+    private static final class Timed extends InputStream {
+        private final Socket socket;
+        private final InputStream in;
+        private final byte[] buf = new byte[512];
+        private long until;
+        private int at;
+        private int filled;
+
+        Timed(Socket socket) throws IOException {
+            this.socket = socket;
+            in = socket.getInputStream();
+        }
+
+        @Override
+        public int read() throws IOException {
+            if (at == filled) {
+                long left = (until - System.nanoTime()) / 1_000_000;
+                if (left <= 0) {
+                    throw new SocketTimeoutException("no whole answer in time");
+                }
+                socket.setSoTimeout((int) left);
+                at = 0;
+                filled = Math.max(0, in.read(buf));
+                if (filled == 0) {
+                    return -1;
+                }
+            }
+            return buf[at++] & 0xff;
+        }
+    }
+
     /** One answer and no byte past it; throws IOException for what is none, or has no end in sight. */
     static Answer read(InputStream in) throws IOException {
         String status = line(in);
--- a/instance/src/main/java/vetchrill/routing/Admit.java
+++ b/instance/src/main/java/vetchrill/routing/Admit.java
@@ -176,6 +176,9 @@
      * are held open and carry nothing, which fill the table all the same.
      */
     void look() {
+        if (controller == null) {
+            return;
+        }
         controller.gauges(gauge(facts.cpuAt), gauge(facts.runnableAt), book.inUse(), clock.now());
         if (recorder != null) {
             record();
@@ -200,11 +203,16 @@
         return at >= 0 && at < gauges.length ? gauges[at] : 0;
     }
 
-    void leave(long stopAt) {
+    /** The grace runs from the first word on; a later one may only tell of an earlier stop. */
+    void leave(long stopAt, long leftAt) {
+        if (this.stopAt > 0 && stopAt >= this.stopAt) {
+            return;
+        }
+        this.leftAt = this.stopAt > 0 ? this.leftAt : leftAt;
         this.stopAt = stopAt;
-        leftAt = clock.now();
         if (controller != null) {
-            controller.leave(stopAt, leftAt);
+            controller.leave(stopAt, this.leftAt);
+            controller.leased(version, floor, leasedUntil, clock.now());
         }
     }
 
--- a/instance/src/main/java/vetchrill/routing/Book.java
+++ b/instance/src/main/java/vetchrill/routing/Book.java
@@ -18,6 +18,8 @@
     private final AtomicLong heldBytes;
     private final Map<String, Open> byId = new LinkedHashMap<>();
     private final Set<Stub> stubs = new LinkedHashSet<>();
+    /** Closed by this side, the longest ago first, and not by their peers as far as is known. */
+    private final Set<Stub> lingering = new LinkedHashSet<>();
     /** That of the callers: some hold for good what they don't use any more. */
     private final long callerIdleTime;
     private long idleTime;
@@ -39,11 +41,14 @@
         this.heldBytes = heldBytes;
     }
 
-    void opened(Stub stub) {
+    /** {@code open} counts all connections of this moment. */
+    void opened(Stub stub, int open) {
         stubs.add(stub);
-        makeRoom();
+        makeRoom(open);
         if (drained) {
             takeNothingNew(stub);
+        } else if (open > limits.connectionsAtMost) {
+            announce(stub, thread.now());
         }
     }
 
@@ -205,27 +210,40 @@
         List<Stub> idle = new ArrayList<>();
         for (Stub stub : stubs) {
             long allowed = stub.carried ? idleTime : stub.heard ? callerIdleTime : limits.silence;
-            if (stub.idle() && !stub.closing && now - stub.lastUsed > allowed) {
+            if (stub.idle() && !stub.closing && now - stub.lastUsed > allowed && !receiving(stub, allowed, now)) {
                 idle.add(stub);
             }
         }
         idle.sort(Comparator.comparingLong(stub -> stub.lastUsed));
         for (Stub stub : idle) {
-            if (!stub.heard) {
+            if (stub.heard) {
+                idleClosed++;
+                announce(stub, now);
+            } else {
                 close(stub);
-                continue;
             }
-            takeNothingNew(stub);
-            idleClosed++;
-            // Told first, closed by the stub: what crosses the word on its way is answered and not lost.
-            closeAt(now + limits.closeWait, stub);
         }
     }
 
-    /** For a stub that does not follow; one with something open has as long again. */
+    /**
+     * Whether more has come than was read as whole frames: a request in pieces, or one that this process had no time to
+     * read yet. One that never sent a whole frame is owed a close soon, so what lies unread is all that helps it.
+     */
+    private boolean receiving(Stub stub, long allowed, long now) {
+        long extra = stub.heard ? limits.slowMessage : limits.crossing;
+        return now - stub.lastUsed <= allowed + extra && stub.connection.isReceiving();
+    }
+
+    /** Told first, closed by the stub: what crosses the word on its way is answered and not lost. */
+    private void announce(Stub stub, long now) {
+        takeNothingNew(stub);
+        closeAt(now + limits.closeWait, stub);
+    }
+
+    /** For a stub that does not follow; one with something open, or half of it, has as long again. */
     private void closeAt(long time, Stub stub) {
         thread.at(time, () -> {
-            if (stubs.contains(stub) && stub.idle()) {
+            if (stubs.contains(stub) && stub.idle() && !receiving(stub, limits.closeWait, thread.now())) {
                 close(stub);
             } else if (stubs.contains(stub)) {
                 closeAt(time + limits.closeWait, stub);
@@ -235,31 +253,79 @@
 
     /**
      * With the table full the longest idle gives way, not whoever comes: a new connection brings an exchange, one
-     * that has long been idle may never bring another. One that is used again just now is not caught by it.
+     * that has long been idle may never bring another. One that is used again just now is not caught by it. It is told
+     * first; only where the next can't be let in otherwise it is closed at once, those that were told longest ago first.
+     * {@code open} are all connections of this moment, closed ones that linger among them.
      */
-    void makeRoom() {
-        long latest = thread.now() - limits.crossing;
-        while (stubs.size() > limits.connections) {
-            Stub longest = null;
-            for (Stub stub : stubs) {
-                if (stub.idle() && stub.lastUsed < latest && (longest == null || stub.lastUsed < longest.lastUsed)) {
-                    longest = stub;
-                }
+    void makeRoom(int open) {
+        long now = thread.now();
+        long latest = now - limits.crossing;
+        int kept = 0;
+        for (Stub stub : stubs) {
+            kept += stub.closing ? 0 : 1;
+        }
+        for (Stub longest = longestIdle(latest, false); kept > limits.connections && longest != null;
+                longest = longestIdle(latest, false)) {
+            kept--;
+            evicted++;
+            if (longest.heard) {
+                announce(longest, now);
+            } else {
+                close(longest);
             }
-            if (longest == null) {
-                return;
+        }
+        lingering.removeIf(stub -> stub.connection.isClosed());
+        int room = limits.connectionsAtMost - open;
+        for (Stub stub : List.copyOf(lingering)) {
+            if (room < 1 && stub.closedAt < latest) {
+                stub.connection.abort();
+                lingering.remove(stub);
+                room++;
             }
-            evicted++;
+        }
+        // What was closed gives its descriptor back only then, so a few more give way than there are to come just now.
+        for (Stub longest = longestIdle(latest, true); room < 1 && longest != null && lingering.size() < limits.roomAtOnce;
+                longest = longestIdle(latest, true)) {
+            evicted += longest.closing ? 0 : 1;
             close(longest);
         }
     }
 
+    /** Those that were told come first where {@code told} ones are asked for. */
+    private Stub longestIdle(long latest, boolean told) {
+        Stub longest = null;
+        for (Stub stub : stubs) {
+            boolean sooner = longest == null || stub.closing && !longest.closing
+                    || stub.closing == longest.closing && stub.lastUsed < longest.lastUsed;
+            if (sooner && (told || !stub.closing) && stub.idle() && stub.lastUsed < latest
+                    && !receiving(stub, 0, latest + limits.crossing)) {
+                longest = stub;
+            }
+        }
+        return longest;
+    }
+
     private void close(Stub stub) {
         stub.closed = true;
+        stub.closedAt = thread.now();
         stubs.remove(stub);
-        stub.connection.closeWhenSent();
-        // What it is owed by then may wait for ever for a peer that does not read.
-        thread.at(thread.now() + limits.closeWait, stub.connection::abort);
+        stub.connection.close();
+        if (!stub.connection.isClosed()) {
+            lingering.add(stub);
+            endAt(stub.closedAt + limits.closeWait, stub);
+        }
+    }
+
+    /** A peer that never closes, or that does not read what it is owed, is not waited for for ever. */
+    private void endAt(long time, Stub stub) {
+        thread.at(time, () -> {
+            if (stub.connection.isHalfClosed() || time - stub.closedAt >= limits.slowReader) {
+                stub.connection.abort();
+                lingering.remove(stub);
+            } else {
+                endAt(time + limits.closeWait, stub);
+            }
+        });
     }
 
     /** From now on nothing new is taken on any connection. */
@@ -272,10 +338,16 @@
 
     void closeAll() {
         for (Stub stub : stubs) {
-            stub.connection.closeWhenSent();
+            stub.connection.close();
         }
     }
 
+    /** Whether every connection has been shown its end, so that nothing is left of what it is owed. */
+    boolean isAllWritten() {
+        return stubs.stream().allMatch(stub -> stub.connection.isHalfClosed() || stub.connection.isClosed())
+                && lingering.stream().allMatch(stub -> stub.connection.isHalfClosed() || stub.connection.isClosed());
+    }
+
     private void takeNothingNew(Stub stub) {
         if (!stub.closing) {
             stub.closing = true;
@@ -284,9 +356,8 @@
     }
 
     private void closeIfDone(Stub stub) {
-        if (stub.ended && stub.open.isEmpty()) {
-            stub.connection.closeWhenSent();
-            stubs.remove(stub);
+        if (stub.ended && stub.open.isEmpty() && stubs.contains(stub)) {
+            close(stub);
         }
     }
 }
--- a/instance/src/main/java/vetchrill/routing/Chain.java
+++ b/instance/src/main/java/vetchrill/routing/Chain.java
@@ -40,6 +40,9 @@
     /** Null where nothing is recorded. */
     private final Recorder recorder;
     private long lastNotice;
+    private long closedAllAt;
+    /** No more connections are wanted: whoever waits to let one in does not go on waiting. */
+    private volatile boolean ending;
 
     public Chain(DeploymentReader facts, long seed, Clock clock, DecisionThread thread,
             Reports membership, Limits limits, Recorder recorder) {
@@ -116,25 +119,26 @@
 
     /** On the listener's thread. */
     public void accepted(Pipe pipe) {
-        for (int i = 0; connections.get() >= limits.connectionsAtMost && i < limits.roomTries; i++) {
+        for (int i = 0; isFull(i) && !ending; i++) {
             // The next ones wait unaccepted, which costs nothing here, until what is idle has given way.
-            thread.post(book::makeRoom);
+            thread.post(() -> book.makeRoom(connections.get()));
             Resources.pause(limits.roomWait);
         }
-        if (connections.get() >= limits.connectionsAtMost) {
-            lines.tell(LOG, "a connection past {0}: closed", limits.connectionsAtMost);
-            pipe.close();
-            return;
-        }
-        connections.incrementAndGet();
+        int open = connections.incrementAndGet();
         Connection connection = new Connection(pipe, limits, readers, writers, unsent, connections::decrementAndGet);
         Stub stub = new Stub(connection, clock.now());
-        thread.post(() -> book.opened(stub));
+        thread.post(() -> book.opened(stub, open));
         TakeIn takeIn = new TakeIn(facts, limits, thread, clock, stub, admit, book, report, heldBytes, lines,
                 recorder);
         connection.start(new FrameReader(limits, takeIn), limits.frame);
     }
 
+    /** Closing it would lose what it brings: after a while it is taken past the limit, where descriptors are left. */
+    private boolean isFull(int tries) {
+        int open = connections.get();
+        return open >= (tries < limits.roomTries ? limits.connectionsAtMost : limits.connectionsTold);
+    }
+
     /** False for a notice that was read before, over this link or the one that it replaced. */
     boolean noticed(long number) {
         if (number <= lastNotice) {
@@ -169,27 +173,51 @@
         }
     }
 
-    /** The notice to leave, on any thread. */
-    public void leave(long stopAt) {
+    /** The notice to leave, which came at {@code leftAt}, or word of an earlier stop; on any thread. */
+    public void leave(long stopAt, long leftAt) {
         thread.post(() -> {
             LOG.log(System.Logger.Level.INFO, "drain: {0} exchanges open on {1} connections, stop in {2} ms",
                     book.size(), book.connections(), (stopAt - clock.now()) / 10);
-            admit.leave(stopAt);
+            admit.leave(stopAt, leftAt);
         });
     }
 
+    /** Whoever waits for room to let one more in lets it in or gives up: the listener is about to be closed. */
+    public void noMoreConnections() {
+        ending = true;
+    }
+
+    /** The listener is closed. */
     public void takeNothingNew() {
+        report.lastWord();
         thread.post(book::takeNothingNew);
     }
 
     public void closeAll() {
         thread.post(() -> {
+            // On a crowded core the look before the stop may come after this: what is still owed goes out first.
+            admit.look();
+            admit.decide();
             LOG.log(System.Logger.Level.INFO, "drained: completed {0} denied {1} terminated {2}; {3} runs go on",
                     book.completed, book.denied, book.terminated, book.size());
             book.closeAll();
+            closedAllAt = clock.now();
         });
     }
 
+    /** {@code over} is run once all that was owed is written, on the decision thread; it waits no longer than is left. */
+    public void end(Runnable over) {
+        thread.post(() -> endWhenWritten(over));
+    }
+
+    private void endWhenWritten(Runnable over) {
+        if (book.isAllWritten() || clock.now() >= closedAllAt + (limits.shutReading - limits.shutAll) / 2) {
+            over.run();
+        } else {
+            thread.at(clock.now() + limits.roomWait, () -> endWhenWritten(over));
+        }
+    }
+
     private void summary() {
         LOG.log(System.Logger.Level.INFO, "completed {0} denied {1} terminated {2}; open {3} on {4} connections, "
                 + "{5} closed idle, {6} to make room, {7} lines left out; oldest arrival {8} ms, longest round {9} ms, "
--- a/instance/src/main/java/vetchrill/routing/Report.java
+++ b/instance/src/main/java/vetchrill/routing/Report.java
@@ -18,6 +18,8 @@
     private volatile boolean good;
     private volatile boolean known;
     private boolean failing;
+    /** The address of this instance is free: a successor under the same name may report from now on. */
+    private volatile boolean ending;
 
     Report(Reports call, Limits limits) {
         this.call = call;
@@ -43,6 +45,11 @@
         }
     }
 
+    /** The next report that is taken is the last one, if it says that this instance takes no work. */
+    void lastWord() {
+        ending = true;
+    }
+
     void start() {
         Resources.daemon("reports", this::keep, limits.threadStack).start();
     }
@@ -51,7 +58,11 @@
         try {
             boolean up = changes.take();
             while (true) {
-                Boolean next = changes.poll(report(up) / 10, TimeUnit.MILLISECONDS);
+                long pause = report(up);
+                if (isLast(up)) {
+                    return;
+                }
+                Boolean next = changes.poll(pause / 10, TimeUnit.MILLISECONDS);
                 while (next != null) {
                     up = next;
                     next = changes.poll();
@@ -62,6 +73,10 @@
         }
     }
 
+    private boolean isLast(boolean up) {
+        return ending && !up && !failing && changes.isEmpty();
+    }
+
     /** One report of what was said last; how long to pause after it, 0 where nothing was said yet. */
     long reportNow() {
         changes.clear();
@@ -84,7 +99,9 @@
         } else if (wrong == null && failing) {
             LOG.log(System.Logger.Level.INFO, "reports to the membership service are taken again");
         }
+        // One that was not answered may still arrive, after the one that was: the last word is said once more.
+        boolean again = failing || wrong != null;
         failing = wrong != null;
-        return failing ? limits.reportAgain : limits.reportEvery;
+        return again ? limits.reportAgain : limits.reportEvery;
     }
 }
--- a/instance/src/main/java/vetchrill/routing/Stub.java
+++ b/instance/src/main/java/vetchrill/routing/Stub.java
@@ -25,6 +25,7 @@
     boolean ended;
     /** Closed by this side: what still arrives is not to be run, as its stub sends it elsewhere. */
     boolean closed;
+    long closedAt;
 
     Stub(Connection connection, long now) {
         this.connection = connection;
--- a/instance/src/main/java/vetchrill/routing/TakeIn.java
+++ b/instance/src/main/java/vetchrill/routing/TakeIn.java
@@ -125,9 +125,10 @@
         return null;
     }
 
+    /** Digits of other scripts are none: the interpreter would not know the id, and may hang up on the line. */
     private static boolean hex(String id) {
         for (int i = 0; i < id.length(); i++) {
-            if (Character.digit(id.charAt(i), 16) < 0) {
+            if (id.charAt(i) > 'f' || Character.digit(id.charAt(i), 16) < 0) {
                 return false;
             }
         }
--- a/instance/src/main/java/vetchrill/transport/Connection.java
+++ b/instance/src/main/java/vetchrill/transport/Connection.java
@@ -38,6 +38,17 @@
     private final AtomicBoolean writing = new AtomicBoolean();
     private final AtomicBoolean gone = new AtomicBoolean();
     private final Runnable closed;
+    /** The closing mark was given: what is given after it is not written. */
+    private final AtomicBoolean closing = new AtomicBoolean();
+    /** All up to the closing mark is written, and the peer sees the end. */
+    private volatile boolean halfClosed;
+    /** The peer's end was read, or the connection failed: nothing can lie unread any more. */
+    private volatile boolean inputEnded;
+    /** The reader gave up on what the peer sends, of which any amount may lie unread. */
+    private volatile boolean inputGivenUp;
+    private final AtomicBoolean discarding = new AtomicBoolean();
+    /** A part of a message has come, and the rest has not. */
+    private volatile boolean partial;
 
     /** {@code unsentInAll} counts for all connections together; {@code closed} is called once, on any thread. */
     public Connection(Pipe pipe, Limits limits, Job.Runner readers, Job.Runner writers, AtomicLong unsentInAll,
@@ -69,7 +80,7 @@
     }
 
     private void send(Object message, int size) {
-        if (gone.get()) {
+        if (gone.get() || closing.get()) {
             return;
         }
         int mine = unsent.addAndGet(size);
@@ -101,15 +112,60 @@
         }
     }
 
-    /** Closes once all that was given before is written; at once where nothing is. */
-    public void closeWhenSent() {
-        if (toSend.isEmpty() && !writing.get()) {
-            abort();
-        } else if (!gone.get()) {
+    /**
+     * A lingering close: once all that was given before is written the peer is shown the end, and what it still sends is
+     * read and dropped until its own end. Closing over unread bytes would be a reset instead, which takes along the
+     * answers that the kernel still holds. How long that may last is up to the owner, who ends it by {@link #abort}.
+     */
+    public void close() {
+        if (closing.getAndSet(true) || gone.get()) {
+            return;
+        }
+        if (toSend.isEmpty() && !writing.getAndSet(true)) {
+            if (toSend.isEmpty()) {
+                halfClose();
+            } else {
+                toSend.add(END);
+                writers.give(new Writing());
+            }
+        } else {
             give(END);
         }
     }
 
+    private void halfClose() {
+        halfClosed = true;
+        // Whichever of the reader and this comes second sees the other's word.
+        if (inputEnded) {
+            abort();
+            return;
+        }
+        pipe.shutdownOutput();
+        if (inputGivenUp) {
+            discard();
+        }
+    }
+
+    private void discard() {
+        if (!discarding.getAndSet(true)) {
+            readers.give(new Discarding());
+        }
+    }
+
+    /** Whether the peer has been shown the end. */
+    public boolean isHalfClosed() {
+        return halfClosed;
+    }
+
+    public boolean isClosed() {
+        return gone.get();
+    }
+
+    /** Whether a message has begun to come that is not whole, or bytes wait that the reader has not taken yet. */
+    public boolean isReceiving() {
+        return partial || !gone.get() && !inputEnded && !inputGivenUp && pipe.hasUnread();
+    }
+
     /** Closes at once; reader and writer end. */
     public void abort() {
         if (!gone.getAndSet(true)) {
@@ -170,7 +226,8 @@
                 write(together, filled);
                 sent(left);
                 if (next == END) {
-                    abort();
+                    // The mark of a writer at work stays: nothing is written any more.
+                    halfClose();
                     return false;
                 }
                 writing.set(false);
@@ -199,6 +256,7 @@
         private byte[] buf;
         private int from;
         private int to;
+        private long dropped;
 
         Reading(Input input, int longestMessage) {
             this.input = input;
@@ -217,17 +275,26 @@
             try {
                 why = read();
                 if (why == null) {
+                    partial = to > from;
                     return true;
                 }
             } catch (IOException e) {
                 why = String.valueOf(e.getMessage());
                 lost = true;
+                inputEnded = true;
             } catch (RuntimeException | OutOfMemoryError e) {
                 // Nothing that one peer sends may cost more than its own connection.
                 LOG.log(System.Logger.Level.ERROR, "reading a connection failed", e);
                 why = "failed";
             }
+            partial = false;
+            inputGivenUp = !inputEnded;
             input.ended(why, lost);
+            if (halfClosed && inputEnded) {
+                abort();
+            } else if (halfClosed) {
+                discard();
+            }
             return false;
         }
 
@@ -249,8 +316,16 @@
             }
             int got = pipe.read(buf, to, buf.length - to);
             if (got < 0) {
+                inputEnded = true;
                 return "closed by the peer";
             }
+            if (halfClosed) {
+                // It can't be answered any more: its stub sends it elsewhere, and running it here would be once too often.
+                from = 0;
+                to = 0;
+                dropped += got;
+                return dropped > limits.lingerBytes ? "more after the end than is read past" : null;
+            }
             to += got;
             while (from < to) {
                 int took = input.take(buf, from, to);
@@ -269,4 +344,30 @@
             return null;
         }
     }
+
+    /** Reads past what a peer sends that was given up on, until its end: one read a step, so much in all. */
+    private final class Discarding implements Job {
+        private final byte[] buf = new byte[limits.frame];
+        private long dropped;
+
+        @Override
+        public Pipe pipe() {
+            return pipe;
+        }
+
+        @Override
+        public boolean step() {
+            try {
+                int got = pipe.read(buf, 0, buf.length);
+                dropped += got;
+                if (got >= 0 && dropped <= limits.lingerBytes) {
+                    return true;
+                }
+            } catch (IOException e) {
+                // Its peer, or the owner, has ended it.
+            }
+            abort();
+            return false;
+        }
+    }
 }
--- a/instance/src/main/java/vetchrill/transport/Limits.java
+++ b/instance/src/main/java/vetchrill/transport/Limits.java
@@ -6,6 +6,8 @@
  */
 public final class Limits {
     private static final int LEAST_CONNECTIONS = 32;
+    /** Kept from connections: the runtime's own files, the listener, two links while one moves, reports, a reserve. */
+    private static final int OTHER_DESCRIPTORS = 24;
 
     /** What the program is given. */
     public final long memoryBytes;
@@ -17,6 +19,8 @@
     public final int connections;
     /** For a crowd that comes at once: half of the descriptors, as much as stubs may take. */
     public final int connectionsAtMost;
+    /** Past that many these are taken as well, only to be told at once that nothing new is taken on them. */
+    public final int connectionsTold;
     public final int backlog = 1024;
     public final int threadStack = 144 << 10;
     public final int inputs = 4096;
@@ -53,14 +57,28 @@
     public final long reportAgain = 2_000;
     /** After this an answer has surely been read, and what the interpreter told before it as well. */
     public final long doubtWait = 5_000;
-    /** A peer told that nothing new is taken on a connection has so long to close it. */
+    /** A peer told that nothing new is taken on a connection has so long to close it, and then for a lingering close. */
     public final long closeWait = 10_000;
+    /** The same for one that still is to read what it is owed. */
+    public final long slowReader = 50_000;
+    /** A message that has begun to come keeps its connection from being idle for so long. */
+    public final long slowMessage = 20_000;
+    /** Read past after the end was shown, or a peer that goes on sending would cost cores for as long as it likes. */
+    public final long lingerBytes = 1 << 20;
     /** A connection on which no whole frame has come in this time is closed: a stub opens one to send at once. */
     public final long silence = 20_000;
     /** What has crossed a close in this time is sent again elsewhere by its stub. */
     public final long crossing = 500;
     public final long roomWait = 50;
     public final int roomTries = 100;
+    public final int roomAtOnce = 16;
+    /** Accepting looks up so often, to hear that it is to end. */
+    public final long acceptWait = 500;
+    /** At its end what waits in the backlog is taken, for so long at most. */
+    public final long backlogWait = 2_000;
+    /** A process under the same address that drains may hold it for so long. */
+    public final long bindWait = 100_000;
+    public final long bindAgain = 500;
     /** Frames that no stub sends, after which nothing more is read from a connection. */
     public final int strikes = 8;
     /** Log lines on what peers do, between two summaries. */
@@ -73,8 +91,10 @@
 
     public Limits(long memoryBytes, int descriptors) {
         this.memoryBytes = memoryBytes;
-        connections = Math.max(LEAST_CONNECTIONS, descriptors / 8);
-        connectionsAtMost = Math.max(connections + connections / 2, descriptors / 2);
+        int most = Math.max(1, descriptors - OTHER_DESCRIPTORS);
+        connections = Math.min(Math.max(LEAST_CONNECTIONS, descriptors / 8), most);
+        connectionsAtMost = Math.min(Math.max(connections + connections / 2, descriptors / 2), most);
+        connectionsTold = Math.min(connectionsAtMost + connectionsAtMost / 8, most);
         unsentInAll = memoryBytes / 12;
         bodiesInAll = memoryBytes / 8;
     }
--- a/instance/src/main/java/vetchrill/transport/Listener.java
+++ b/instance/src/main/java/vetchrill/transport/Listener.java
@@ -4,21 +4,32 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.function.Consumer;
 
-/** Accepts connections on one address until it is closed. */
+/**
+ * Accepts connections on one address until it is closed. What the system has accepted by then is a connection like any
+ * other, with a whole request in it perhaps, and closing the socket would reset it: the backlog is emptied first.
+ */
 public final class Listener {
     private static final System.Logger LOG = System.getLogger("vetchrill.listener");
 
     private final ServerSocket socket;
+    private final Limits limits;
     private final Thread thread;
     private volatile boolean closing;
 
     public Listener(InetSocketAddress address, Limits limits, Consumer<Pipe> taken) throws IOException {
+        this.limits = limits;
         socket = new ServerSocket();
-        // A restart under the same name must not wait for what is left of the connections of its last life.
-        socket.setReuseAddress(true);
-        socket.bind(address, limits.backlog);
+        try {
+            // A restart under the same name must not wait for what is left of the connections of its last life.
+            socket.setReuseAddress(true);
+            socket.bind(address, limits.backlog);
+        } catch (IOException e) {
+            Resources.close(socket);
+            throw e;
+        }
         thread = Resources.daemon("listener", () -> accept(taken), limits.threadStack);
     }
 
@@ -26,19 +37,28 @@
         thread.start();
     }
 
+    /** Accepts what waits by now, then closes; waits for that, though no longer than is left for it. */
     public void close() {
         closing = true;
         try {
-            socket.close();
-        } catch (IOException e) {
-            LOG.log(System.Logger.Level.DEBUG, "closing the listener: {0}", e.getMessage());
+            thread.join(limits.backlogWait / 10);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
     private void accept(Consumer<Pipe> taken) {
         boolean failing = false;
-        while (!closing) {
+        long closeBy = Long.MAX_VALUE;
+        while (true) {
+            if (closing && closeBy == Long.MAX_VALUE) {
+                closeBy = System.nanoTime() + limits.backlogWait * 100_000;
+            }
             try {
+                if (closeBy != Long.MAX_VALUE && System.nanoTime() - closeBy >= 0) {
+                    break;
+                }
+                socket.setSoTimeout(closing ? 1 : (int) (limits.acceptWait / 10));
                 Socket accepted = socket.accept();
                 try {
                     taken.accept(Pipe.of(accepted));
@@ -47,10 +67,11 @@
                     Resources.close(accepted);
                 }
                 failing = false;
-            } catch (IOException | OutOfMemoryError e) {
-                if (closing) {
-                    return;
+            } catch (SocketTimeoutException e) {
+                if (closeBy != Long.MAX_VALUE) {
+                    break;
                 }
+            } catch (IOException | OutOfMemoryError e) {
                 // Out of descriptors or threads: what waits in the backlog may be taken when some are free again.
                 if (!failing) {
                     LOG.log(System.Logger.Level.WARNING, "can''t accept: {0}", e.getMessage());
@@ -59,5 +80,6 @@
                 Resources.pause(500);
             }
         }
+        Resources.close(socket);
     }
 }
--- a/instance/src/main/java/vetchrill/transport/Pipe.java
+++ b/instance/src/main/java/vetchrill/transport/Pipe.java
@@ -14,6 +14,14 @@
 
     void write(byte[] buf, int from, int size) throws IOException;
 
+    /** Whether bytes wait to be read; false as well where that can't be told. */
+    default boolean hasUnread() {
+        return false;
+    }
+
+    /** Half-close: the peer reads what was written and then the end, and may go on writing. Never fails or waits. */
+    void shutdownOutput();
+
     /** Ends both ways; whoever reads or writes is released. Never fails. */
     void close();
 
@@ -32,6 +40,24 @@
                 out.write(buf, from, size);
             }
 
+            @Override
+            public boolean hasUnread() {
+                try {
+                    return in.available() > 0;
+                } catch (IOException e) {
+                    return false;
+                }
+            }
+
+            @Override
+            public void shutdownOutput() {
+                try {
+                    socket.shutdownOutput();
+                } catch (IOException e) {
+                    // Reset by the peer, which the reader meets as well, or closed by this side.
+                }
+            }
+
             @Override
             public void close() {
                 Resources.close(socket);
--- a/lab/src/main/java/vetchrill/standin/Membership.java
+++ b/lab/src/main/java/vetchrill/standin/Membership.java
@@ -19,6 +19,8 @@
 
     private final ServerSocket server;
     public volatile int status = 204;
+    /** Milliseconds between any two bytes of an answer; 0 for all at once. */
+    public volatile int slowly;
 
     public Membership(Heard heard) throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -36,8 +38,12 @@
                 heard.report(report ? call.substring(CALL.length(), call.length() - 9) : "",
                         !report ? null : Boolean.valueOf(phase.equals("UP")), call);
                 if (status != 0) {
-                    socket.getOutputStream().write(("HTTP/1.1 " + status + " Told\r\nContent-Length: 0\r\n\r\n")
-                            .getBytes(StandardCharsets.US_ASCII));
+                    byte[] answer = ("HTTP/1.1 " + status + " Told\r\nContent-Length: 0\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII);
+                    for (int from = 0; from < answer.length; from += slowly > 0 ? 1 : answer.length) {
+                        socket.getOutputStream().write(answer, from, slowly > 0 ? 1 : answer.length);
+                        Peers.pause(slowly);
+                    }
                 }
             }
         });
--- a/lab/src/test/java/vetchrill/StandIns.java
+++ b/lab/src/test/java/vetchrill/StandIns.java
@@ -301,8 +301,12 @@
         }
 
         public static byte[] exchange(int stream, String group, String id, String body) {
-            return frame(2, stream, payload(body, "method", group, "rid", id, "t0",
-                    Long.toString(System.currentTimeMillis()), "peer", "4", "acct", "acme", "mem", "24.5",
+            return exchange(stream, group, id, body, System.currentTimeMillis());
+        }
+
+        /** The same that came to the machine at a time in Unix milliseconds. */
+        public static byte[] exchange(int stream, String group, String id, String body, long cameAt) {
+            return frame(2, stream, payload(body, "method", group, "rid", id, "t0", Long.toString(cameAt), "peer", "4", "acct", "acme", "mem", "24.5",
                     "prio", "0.6250"));
         }
 
--- a/lab/src/test/java/vetchrill/program/ServeTest.java
+++ b/lab/src/test/java/vetchrill/program/ServeTest.java
@@ -277,7 +277,7 @@
             String t0 = Long.toString(System.currentTimeMillis());
             String[] right = {"method", "look", "rid", A, "t0", t0, "peer", "4", "acct", "acme", "mem", "1", "prio",
                 "0.5"};
-            String[][] wrongs = {{"method", "dance"}, {"rid", "xx"}, {"t0", "soon"}, {"peer", "-1"}, {"acct", "nobody"},
+            String[][] wrongs = {{"method", "dance"}, {"rid", "xx"}, {"rid", "\u00ef\u00bc\u0091".repeat(16)}, {"t0", "soon"}, {"peer", "-1"}, {"acct", "nobody"},
                 {"mem", "-1"}, {"mem", "NaN"}, {"mem", "2000"}, {"prio", "1"}, {"prio", "high"}};
             List<byte[]> payloads = new ArrayList<>();
             for (String[] wrong : wrongs) {
@@ -504,7 +504,8 @@
                 many.add(world.stub());
                 assertEquals(many.get(i).check(), 79, "connection " + i);
             }
-            assertNull(many.get(0).read(), "the longest idle");
+            assertEquals(many.get(0).read(), new Stub.Frame(64, 0, 0, ""), "the longest idle, told first");
+            assertNull(many.get(0).read(), "and closed, though it does not follow");
             assertEquals(many.get(55).check(), 79);
             world.interpreter.value(A, "good", "");
             assertEquals(busy.read().code(), 79);
--- a/lab/src/test/java/vetchrill/transport/GuardedTest.java
+++ b/lab/src/test/java/vetchrill/transport/GuardedTest.java
@@ -37,6 +37,10 @@
                 all.countDown();
             }
 
+            @Override
+            public void shutdownOutput() {
+            }
+
             @Override
             public void close() {
             }
--- /dev/null
+++ b/lab/src/test/java/vetchrill/transport/LingeringCloseTest.java
@@ -0,0 +1,148 @@
+package vetchrill.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static vetchrill.StandIns.soon;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What crosses a close, on real sockets: each story forces its order by what has been read or written before. */
+@Test
+public class LingeringCloseTest {
+    private static final Limits LIMITS = new Limits(64 << 20, 64);
+    private static final Workers READERS = new Workers("r", 1, LIMITS);
+    private static final Workers WRITERS = new Workers("w", 1, LIMITS);
+
+    private final AtomicLong unsent = new AtomicLong();
+    private final LinkedBlockingQueue<String> taken = new LinkedBlockingQueue<>();
+    private CountDownLatch closed;
+    private Socket peer;
+    private Connection connection;
+
+    /** The peer's window is small, so that what is sent to it stays with the kernel of this side until it reads. */
+    @BeforeMethod
+    public void connect() throws IOException {
+        closed = new CountDownLatch(1);
+        taken.clear();
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            peer = new Socket();
+            peer.setReceiveBufferSize(2 << 10);
+            peer.setSoTimeout(30_000);
+            peer.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()));
+            connection = new Connection(Pipe.of(server.accept()), LIMITS, READERS, WRITERS, unsent, closed::countDown);
+        }
+    }
+
+    @AfterMethod
+    public void disconnect() throws Exception {
+        peer.close();
+        connection.close();
+        assertTrue(closed.await(30, TimeUnit.SECONDS), "closed once its peer is");
+        assertEquals(unsent.get(), 0, "nothing is counted for a connection that is over");
+    }
+
+    /** Takes whole lines; gives up on one that begins with '!'. */
+    private void start() {
+        connection.start(new Connection.Input() {
+            @Override
+            public int take(byte[] buf, int from, int to) {
+                for (int at = from; at < to; at++) {
+                    if (buf[at] == '\n') {
+                        taken.add(new String(buf, from, at - from));
+                        return at + 1 - from;
+                    }
+                }
+                return buf[from] == '!' ? -1 : 0;
+            }
+
+            @Override
+            public void ended(String why, boolean gone) {
+                taken.add(why);
+            }
+        }, LIMITS.frame);
+    }
+
+    private void send(String text) throws IOException {
+        peer.getOutputStream().write(text.getBytes());
+    }
+
+    public void whatIsOwedArrivesThoughThePeerHasSentMoreThanWasRead() throws Exception {
+        start();
+        send("!");
+        assertEquals(soon(taken, "the end of reading"), "input that can't be read");
+        send("never read".repeat(1000));
+        connection.send(new byte[150 << 10]);
+        connection.close();
+        assertEquals(peer.getInputStream().readAllBytes().length, 150 << 10);
+    }
+
+    public void whatIsSentAfterTheEndIsDroppedAndTakesNothingAlong() throws Exception {
+        start();
+        send("first\nhal");
+        assertEquals(soon(taken, "a message"), "first");
+        connection.send(new byte[150 << 10]);
+        connection.close();
+        while (!connection.isHalfClosed()) {
+            Thread.onSpinWait();
+        }
+        send("f\nwhole\n");
+        assertEquals(peer.getInputStream().readAllBytes().length, 150 << 10);
+        peer.shutdownOutput();
+        assertEquals(soon(taken, "the end"), "closed by the peer", "nothing is taken after the end was shown");
+    }
+
+    public void whatIsGivenAfterTheClosingMarkIsNotWritten() throws Exception {
+        start();
+        connection.send("owed".getBytes());
+        connection.close();
+        connection.send("too late".getBytes());
+        connection.close();
+        assertEquals(new String(peer.getInputStream().readAllBytes()), "owed");
+    }
+
+    public void aPeerThatGoesOnSendingIsReadPastSoFarAndNoFurther() {
+        start();
+        connection.close();
+        assertThrows(IOException.class, () -> {
+            for (int i = 0; i < 1000; i++) {
+                peer.getOutputStream().write(new byte[64 << 10]);
+            }
+        });
+    }
+
+    public void onePeerThatHasEndedIsNotLingeredFor() throws Exception {
+        start();
+        peer.shutdownOutput();
+        assertEquals(soon(taken, "the end"), "closed by the peer");
+        connection.send("owed".getBytes());
+        connection.close();
+        assertTrue(closed.await(30, TimeUnit.SECONDS));
+        assertEquals(new String(peer.getInputStream().readAllBytes()), "owed");
+    }
+
+    public void aMessageInPiecesIsBeingReceivedUntilItIsWhole() throws Exception {
+        start();
+        send("whole\nhal");
+        assertEquals(soon(taken, "a message"), "whole");
+        while (!connection.isReceiving()) {
+            Thread.onSpinWait();
+        }
+        send("f\n");
+        assertEquals(soon(taken, "the other"), "half");
+        while (connection.isReceiving()) {
+            Thread.onSpinWait();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/vetchrill/transport/ListenerTest.java
@@ -0,0 +1,66 @@
+package vetchrill.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static vetchrill.StandIns.soon;
+
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.testng.annotations.Test;
+import vetchrill.standin.Ports;
+
+@Test
+public class ListenerTest {
+    /** While one is being let in the others wait in the backlog, each with a request; then the listener is closed. */
+    public void whatTheSystemHasAcceptedIsTakenBeforeTheEnd() throws Exception {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), Ports.free());
+        LinkedBlockingQueue<Pipe> taken = new LinkedBlockingQueue<>();
+        CountDownLatch held = new CountDownLatch(1);
+        Listener listener = new Listener(address, new Limits(64 << 20, 64), pipe -> {
+            taken.add(pipe);
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        listener.start();
+        List<Socket> peers = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Socket peer = new Socket(address.getAddress(), address.getPort());
+            peer.getOutputStream().write(i);
+            peers.add(peer);
+        }
+        Pipe first = soon(taken, "the first");
+        // Closing waits for the one that is being let in.
+        Thread closing = new Thread(listener::close);
+        closing.start();
+        while (closing.getState() != Thread.State.TIMED_WAITING) {
+            Thread.onSpinWait();
+        }
+        held.countDown();
+        byte[] buf = new byte[1];
+        first.read(buf, 0, 1);
+        for (int i = 1; i < 20; i++) {
+            Pipe pipe = soon(taken, "connection " + i);
+            pipe.read(buf, 0, 1);
+            assertEquals(buf[0], i);
+            pipe.write(buf, 0, 1);
+            assertEquals(peers.get(i).getInputStream().read(), i, "it is answered like any other");
+        }
+        assertThrows(ConnectException.class, () -> {
+            while (true) {
+                new Socket(address.getAddress(), address.getPort()).close();
+            }
+        });
+        for (Socket peer : peers) {
+            peer.close();
+        }
+    }
+}
