--- a/instance/src/main/java/vetchrill/program/Drain.java
+++ b/instance/src/main/java/vetchrill/program/Drain.java
@@ -28,8 +28,8 @@
      * Takes the steps in their time. A configuration that is read meanwhile may tell an earlier stop, which then holds;
      * a later one is not believed, as whoever ends this process may go by the one that held at the notice.
      */
-    static void follow(Clock clock, long leftAt, long stop, LinkedBlockingQueue<Long> told, LongFunction<List<Drain>> by)
-            throws InterruptedException {
+    static void follow(Clock clock, long leftAt, long stop, LinkedBlockingQueue<Long> told,
+            LongFunction<List<Drain>> by) throws InterruptedException {
         long stopAt = leftAt + stop;
         List<Drain> steps = by.apply(stopAt);
         for (int next = 0; next < steps.size();) {
--- a/instance/src/main/java/vetchrill/program/Serve.java
+++ b/instance/src/main/java/vetchrill/program/Serve.java
@@ -126,7 +126,7 @@
     private record Notice(String name, long at) {
     }
 
-    /** Handlers of signals and not a hook at exit, since hooks run beside each other and end with 143. Those ignored. */
+    /** Handlers and not a hook at exit, since hooks run beside each other and end with 143. Those that are ignored. */
     private static List<String> handle(LinkedBlockingQueue<Notice> signals, Clock clock) {
         List<String> ignored = new ArrayList<>();
         for (String name : List.of("HUP", "TERM")) {
--- a/instance/src/main/java/vetchrill/routing/Book.java
+++ b/instance/src/main/java/vetchrill/routing/Book.java
@@ -254,7 +254,7 @@
     /**
      * With the table full the longest idle gives way, not whoever comes: a new connection brings an exchange, one
      * that has long been idle may never bring another. One that is used again just now is not caught by it. It is told
-     * first; only where the next can't be let in otherwise it is closed at once, those that were told longest ago first.
+     * first; only where the next can't be let in otherwise it is closed at once, one that was told sooner.
      * {@code open} are all connections of this moment, closed ones that linger among them.
      */
     void makeRoom(int open) {
@@ -284,7 +284,8 @@
             }
         }
         // What was closed gives its descriptor back only then, so a few more give way than there are to come just now.
-        for (Stub longest = longestIdle(latest, true); room < 1 && longest != null && lingering.size() < limits.roomAtOnce;
+        for (Stub longest = longestIdle(latest, true);
+                room < 1 && longest != null && lingering.size() < limits.roomAtOnce;
                 longest = longestIdle(latest, true)) {
             evicted += longest.closing ? 0 : 1;
             close(longest);
--- a/instance/src/main/java/vetchrill/routing/Chain.java
+++ b/instance/src/main/java/vetchrill/routing/Chain.java
@@ -205,7 +205,7 @@
         });
     }
 
-    /** {@code over} is run once all that was owed is written, on the decision thread; it waits no longer than is left. */
+    /** Runs {@code over}, on the decision thread, once all that was owed is written or no time is left for it. */
     public void end(Runnable over) {
         thread.post(() -> endWhenWritten(over));
     }
--- a/instance/src/main/java/vetchrill/transport/Connection.java
+++ b/instance/src/main/java/vetchrill/transport/Connection.java
@@ -113,8 +113,8 @@
     }
 
     /**
-     * A lingering close: once all that was given before is written the peer is shown the end, and what it still sends is
-     * read and dropped until its own end. Closing over unread bytes would be a reset instead, which takes along the
+     * A lingering close: once all that was given before is written the peer is shown the end, and what it still sends
+     * is read and dropped until its own end. Closing over unread bytes would be a reset instead, which takes along the
      * answers that the kernel still holds. How long that may last is up to the owner, who ends it by {@link #abort}.
      */
     public void close() {
@@ -320,7 +320,7 @@
                 return "closed by the peer";
             }
             if (halfClosed) {
-                // It can't be answered any more: its stub sends it elsewhere, and running it here would be once too often.
+                // It can't be answered any more, and its stub sends it elsewhere: to run it here is once too often.
                 from = 0;
                 to = 0;
                 dropped += got;
--- a/instance/src/main/java/vetchrill/transport/Limits.java
+++ b/instance/src/main/java/vetchrill/transport/Limits.java
@@ -57,7 +57,7 @@
     public final long reportAgain = 2_000;
     /** After this an answer has surely been read, and what the interpreter told before it as well. */
     public final long doubtWait = 5_000;
-    /** A peer told that nothing new is taken on a connection has so long to close it, and then for a lingering close. */
+    /** A peer told that nothing new is taken on a connection has so long to close it, and a lingering close as well. */
     public final long closeWait = 10_000;
     /** The same for one that still is to read what it is owed. */
     public final long slowReader = 50_000;
--- a/lab/src/test/java/vetchrill/StandIns.java
+++ b/lab/src/test/java/vetchrill/StandIns.java
@@ -306,7 +306,8 @@
 
         /** The same that came to the machine at a time in Unix milliseconds. */
         public static byte[] exchange(int stream, String group, String id, String body, long cameAt) {
-            return frame(2, stream, payload(body, "method", group, "rid", id, "t0", Long.toString(cameAt), "peer", "4", "acct", "acme", "mem", "24.5",
+            return frame(2, stream, payload(body, "method", group, "rid", id, "t0", Long.toString(cameAt),
+                    "peer", "4", "acct", "acme", "mem", "24.5",
                     "prio", "0.6250"));
         }
 
--- a/lab/src/test/java/vetchrill/program/CrossingsTest.java
+++ b/lab/src/test/java/vetchrill/program/CrossingsTest.java
@@ -95,7 +95,7 @@
         }
     }
 
-    /** Whoever ends the process goes by the time that the configuration tells: an earlier one holds, a later does not. */
+    /** Whoever ends the process goes by what the configuration tells: an earlier stop holds, a later one does not. */
     public void anEarlierStopThatIsReadDuringTheDrainHolds() throws Exception {
         try (StandIns world = new StandIns()) {
             world.instead.put("\"stop_ms\":5000", "\"stop_ms\":25000");
@@ -223,7 +223,7 @@
         }
     }
 
-    /** The process stands still from before the last look until after the closing of all: what it owes goes out first. */
+    /** The process stands still from before the last look until after the closing of all: it answers first. */
     public void whatIsOwedAtTheStopGoesOutBeforeTheEndThoughTheProcessWasLate() throws Exception {
         try (StandIns world = new StandIns()) {
             world.instead.put("\"stop_ms\":5000", "\"stop_ms\":1500");
--- a/lab/src/test/java/vetchrill/program/ServeTest.java
+++ b/lab/src/test/java/vetchrill/program/ServeTest.java
@@ -277,7 +277,8 @@
             String t0 = Long.toString(System.currentTimeMillis());
             String[] right = {"method", "look", "rid", A, "t0", t0, "peer", "4", "acct", "acme", "mem", "1", "prio",
                 "0.5"};
-            String[][] wrongs = {{"method", "dance"}, {"rid", "xx"}, {"rid", "\u00ef\u00bc\u0091".repeat(16)}, {"t0", "soon"}, {"peer", "-1"}, {"acct", "nobody"},
+            String[][] wrongs = {{"method", "dance"}, {"rid", "xx"},
+                {"rid", "\u00ef\u00bc\u0091".repeat(16)}, {"t0", "soon"}, {"peer", "-1"}, {"acct", "nobody"},
                 {"mem", "-1"}, {"mem", "NaN"}, {"mem", "2000"}, {"prio", "1"}, {"prio", "high"}};
             List<byte[]> payloads = new ArrayList<>();
             for (String[] wrong : wrongs) {
