Deduplicated groups are served on sockets: a repeat gets the result of the try that ran

Change: the module's remember, forget and replay, until now refused here, are carried out by Repeats, which keeps for each key the try that stands for it and then its answer. A further try is decided on before the next input, so that two that come together can't both be fresh. Answers and keys are bounded; without room answers go first and new exchanges are denied, so that memory forces no second run. The key memory that the settings tell is the interpreter's and is not counted here.

--- a/instance/src/main/java/vetchrill/program/Start.java
+++ b/instance/src/main/java/vetchrill/program/Start.java
@@ -70,9 +70,6 @@
             if (group.mayCall) {
                 throw new IllegalArgumentException("settings: " + at + " makes calls, which this protocol has not");
             }
-            if (group.effect == EndpointGroup.Effect.DEDUPLICATED) {
-                throw new IllegalArgumentException("settings: " + at + " has keys, which this protocol has not");
-            }
         }
         if (facts.deployment.preemption != Deployment.Preemption.NONE) {
             throw new IllegalArgumentException("settings: work is to be stopped, which this protocol has not");
--- a/instance/src/main/java/vetchrill/protocol/Frames.java
+++ b/instance/src/main/java/vetchrill/protocol/Frames.java
@@ -38,6 +38,13 @@
         put(frame, 5, stream);
     }
 
+    /** The same answer for another exchange; the one that it is made of may be on its way. */
+    public static byte[] onStreamOf(byte[] frame, int stream) {
+        byte[] copy = frame.clone();
+        onStream(copy, stream);
+        return copy;
+    }
+
     public static byte[] terminated(int stream) {
         byte[] frame = head(ANSWER, stream, 2);
         frame[9] = TERMINATED;
--- a/instance/src/main/java/vetchrill/routing/Admit.java
+++ b/instance/src/main/java/vetchrill/routing/Admit.java
@@ -21,6 +21,7 @@
     /** Null where nothing is recorded. */
     private final Recorder recorder;
     private Route route;
+    private Repeats repeats;
     private OverloadController controller;
     /** When the process stops; 0 while nothing is known of that. */
     private long stopAt;
@@ -51,6 +52,8 @@
     /** The interpreter is up: only now is there something to decide on, and known since when it warms up. */
     void begin(Route route, long born) {
         this.route = route;
+        // Here the memory that is told is the interpreter's, which keeps neither keys nor results.
+        facts.deployment.keyKb = 0;
         controller = new OverloadController(facts.deployment, seed, born);
         if (stopAt > 0) {
             controller.leave(stopAt, leftAt);
@@ -93,7 +96,7 @@
     void notBegun(Open ex) {
         if (!ex.over()) {
             heldBack++;
-            controller.finished(ex, Exchange.Outcome.NOTHING_STARTED, 0, clock.now());
+            finished(ex, Exchange.Outcome.NOTHING_STARTED, 0);
             book.deny(ex, facts.deployment.longestAway, false, clock.now());
             book.forgetIfOver(ex);
         }
@@ -127,10 +130,18 @@
         }
         if (ex.stub.open.size() >= limits.openPerConnection) {
             strike(ex, "more open than a connection carries");
-            turnAway(ex, Frames.denied(ex.stream, 0, false), Recorder.DENIED);
+            if (ex.key == null) {
+                turnAway(ex, Frames.denied(ex.stream, 0, false), Recorder.DENIED);
+            } else {
+                // An earlier try of it may have run, which a denial would say is not so.
+                turnAway(ex, Frames.terminated(ex.stream), Recorder.TERMINATED);
+            }
             return;
         }
-        if (controller == null) {
+        if (ex.key != null) {
+            repeats.link(ex);
+        }
+        if (controller == null || ex.key != null && !ex.repeat && repeats.isFull()) {
             turnAway(ex, Frames.denied(ex.stream, 0, false), Recorder.DENIED);
             return;
         }
@@ -138,6 +149,10 @@
         ex.heard = now;
         book.add(ex);
         controller.arrived(ex, now);
+        if (ex.key != null) {
+            // A further try that waits behind it in the queue is to find it remembered, or denied and forgotten.
+            decide();
+        }
     }
 
     /** For what no stub does; see {@link TakeIn} for where it ends. */
@@ -161,9 +176,21 @@
         }
     }
 
+    void repeats(Repeats repeats) {
+        this.repeats = repeats;
+    }
+
     void finished(Open ex, Exchange.Outcome outcome, long took) {
+        finished(ex, outcome, took, null);
+    }
+
+    /** {@code answer} is null where there is no result. */
+    void finished(Open ex, Exchange.Outcome outcome, long took, byte[] answer) {
         ex.took = took;
         controller.finished(ex, outcome, took, clock.now());
+        if (ex.over()) {
+            repeats.over(ex, answer);
+        }
         book.forgetIfOver(ex);
     }
 
@@ -203,15 +230,12 @@
         return at >= 0 && at < gauges.length ? gauges[at] : 0;
     }
 
-    /** The grace runs from the first word on; a later one may only tell of an earlier stop. */
+    /** The grace runs from {@code leftAt}, however late this is told or told again. */
     void leave(long stopAt, long leftAt) {
-        if (this.stopAt > 0 && stopAt >= this.stopAt) {
-            return;
-        }
-        this.leftAt = this.stopAt > 0 ? this.leftAt : leftAt;
+        this.leftAt = leftAt;
         this.stopAt = stopAt;
         if (controller != null) {
-            controller.leave(stopAt, this.leftAt);
+            controller.leave(stopAt, leftAt);
             controller.leased(version, floor, leasedUntil, clock.now());
         }
     }
--- a/instance/src/main/java/vetchrill/routing/Chain.java
+++ b/instance/src/main/java/vetchrill/routing/Chain.java
@@ -66,7 +66,9 @@
         admit = new Admit(facts, seed, clock, book, limits, lines, recorder);
         send = new Send(limits, thread, clock, book, admit, recorder);
         report = new Report(membership, limits);
-        route = new Route(clock, thread, book, send, report);
+        Repeats repeats = new Repeats(limits, thread, book, admit);
+        admit.repeats(repeats);
+        route = new Route(clock, thread, book, send, report, repeats);
     }
 
     public void start(InetSocketAddress interpreter) {
--- a/instance/src/main/java/vetchrill/routing/Open.java
+++ b/instance/src/main/java/vetchrill/routing/Open.java
@@ -22,6 +22,10 @@
     byte answer;
     long away;
     boolean giveUp;
+    /** By which a further try is known as one; null where tries are not told apart. */
+    Repeats.Key key;
+    /** It stands for all its tries. */
+    Repeats.Kept kept;
     /** It has its one final answer. */
     boolean done;
     /** The module has begun it. */
--- a/instance/src/main/java/vetchrill/routing/Relay.java
+++ b/instance/src/main/java/vetchrill/routing/Relay.java
@@ -52,7 +52,7 @@
                     id, (now - ex.arrived) / 10, took / 10);
         }
         // First its room is given back, then the answer goes out: the stub may send the next at once.
-        chain.admit.finished(ex, outcome, took);
+        chain.admit.finished(ex, outcome, took, answer);
         if (!ex.done && outcome != Outcome.STOPPED) {
             if (outcome == Outcome.COMPLETED) {
                 chain.book.complete(ex, answer, now);
--- a/instance/src/main/java/vetchrill/routing/Report.java
+++ b/instance/src/main/java/vetchrill/routing/Report.java
@@ -20,6 +20,8 @@
     private boolean failing;
     /** The address of this instance is free: a successor under the same name may report from now on. */
     private volatile boolean ending;
+    /** What was taken last. */
+    private Boolean said;
 
     Report(Reports call, Limits limits) {
         this.call = call;
@@ -45,7 +47,7 @@
         }
     }
 
-    /** The next report that is taken is the last one, if it says that this instance takes no work. */
+    /** Once it was taken that this instance takes no work, nothing more is said. */
     void lastWord() {
         ending = true;
     }
@@ -58,23 +60,22 @@
         try {
             boolean up = changes.take();
             while (true) {
-                long pause = report(up);
-                if (isLast(up)) {
-                    return;
-                }
-                Boolean next = changes.poll(pause / 10, TimeUnit.MILLISECONDS);
+                Boolean next = changes.poll(report(up) / 10, TimeUnit.MILLISECONDS);
                 while (next != null) {
                     up = next;
                     next = changes.poll();
                 }
+                if (isSaid(up)) {
+                    return;
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private boolean isLast(boolean up) {
-        return ending && !up && !failing && changes.isEmpty();
+    private boolean isSaid(boolean up) {
+        return ending && !up && !failing && Boolean.FALSE.equals(said);
     }
 
     /** One report of what was said last; how long to pause after it, 0 where nothing was said yet. */
@@ -101,6 +102,7 @@
         }
         // One that was not answered may still arrive, after the one that was: the last word is said once more.
         boolean again = failing || wrong != null;
+        said = wrong == null ? Boolean.valueOf(up) : said;
         failing = wrong != null;
         return again ? limits.reportAgain : limits.reportEvery;
     }
--- a/instance/src/main/java/vetchrill/routing/Route.java
+++ b/instance/src/main/java/vetchrill/routing/Route.java
@@ -12,8 +12,10 @@
     private final Book book;
     private final Send send;
     private final Report report;
+    private final Repeats repeats;
 
-    Route(Clock clock, DecisionThread thread, Book book, Send send, Report report) {
+    Route(Clock clock, DecisionThread thread, Book book, Send send, Report report, Repeats repeats) {
+        this.repeats = repeats;
         this.clock = clock;
         this.thread = thread;
         this.book = book;
@@ -74,36 +76,37 @@
         thread.at(clock.now() + span, send::look);
     }
 
-    // The start refuses settings that would need one of these: the protocol has no words for them.
-
     @Override
-    public void interrupt(Exchange ex) {
-        throw new IllegalStateException("work can't be stopped here");
+    public void replay(Exchange ex) {
+        trace("replay", (Open) ex);
+        repeats.replay((Open) ex);
     }
 
     @Override
-    public void call(Exchange ex, long until) {
-        throw new IllegalStateException("calls can't be made here");
+    public void remember(Exchange ex, long span) {
+        repeats.remember((Open) ex, span);
     }
 
     @Override
-    public void leaveOut(Exchange ex) {
-        throw new IllegalStateException("calls can't be left out here");
+    public void forget(Exchange ex) {
+        repeats.forget((Open) ex);
     }
 
+    // The start refuses settings that would need one of these: the protocol has no words for them.
+
     @Override
-    public void replay(Exchange ex) {
-        throw new IllegalStateException("no repeat is known here");
+    public void interrupt(Exchange ex) {
+        throw new IllegalStateException("work can't be stopped here");
     }
 
     @Override
-    public void remember(Exchange ex, long span) {
-        throw new IllegalStateException("nothing is remembered here");
+    public void call(Exchange ex, long until) {
+        throw new IllegalStateException("calls can't be made here");
     }
 
     @Override
-    public void forget(Exchange ex) {
-        throw new IllegalStateException("nothing is remembered here");
+    public void leaveOut(Exchange ex) {
+        throw new IllegalStateException("calls can't be left out here");
     }
 
     @Override
--- a/instance/src/main/java/vetchrill/routing/TakeIn.java
+++ b/instance/src/main/java/vetchrill/routing/TakeIn.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicLong;
+import vetchrill.control.EndpointGroup;
 import vetchrill.protocol.DeploymentReader;
 import vetchrill.protocol.Fields;
 import vetchrill.protocol.FrameReader;
@@ -12,6 +13,7 @@
 final class TakeIn implements FrameReader.Taker {
     private static final System.Logger LOG = System.getLogger("vetchrill.stub");
     private static final int RID = 16;
+    private static final int TOKEN = 64;
     private static final double LARGEST_KB = 2000;
 
     private final DeploymentReader facts;
@@ -98,6 +100,13 @@
         if (peer < 0) {
             return "no peer";
         }
+        String token = null;
+        if (facts.deployment.groups.get(group).effect == EndpointGroup.Effect.DEDUPLICATED) {
+            token = fields.text("token");
+            if (token == null || token.isEmpty() || token.length() > TOKEN) {
+                return "no token by which it is known again";
+            }
+        }
         if (stream == 0) {
             return "an exchange on stream 0";
         }
@@ -106,7 +115,8 @@
         }
         if (heldBytes.addAndGet(to - fields.end()) > limits.bodiesInAll) {
             heldBytes.addAndGet(fields.end() - to);
-            stub.connection.send(Frames.denied(stream, 0, false));
+            // An earlier try of it may have run, which a denial would say is not so.
+            stub.connection.send(token == null ? Frames.denied(stream, 0, false) : Frames.terminated(stream));
             return null;
         }
         Open ex = new Open(id, facts.groupNames.get(group), stub, stream,
@@ -114,6 +124,7 @@
         ex.group = facts.deployment.groups.get(group);
         ex.groupAt = group;
         ex.customer = customer;
+        ex.key = token == null ? null : new Repeats.Key(group, customer, token, ex.body);
         ex.kb = kb;
         ex.peer = peer;
         if (recorder != null) {
--- a/instance/src/main/java/vetchrill/transport/Connection.java
+++ b/instance/src/main/java/vetchrill/transport/Connection.java
@@ -118,17 +118,7 @@
      * answers that the kernel still holds. How long that may last is up to the owner, who ends it by {@link #abort}.
      */
     public void close() {
-        if (closing.getAndSet(true) || gone.get()) {
-            return;
-        }
-        if (toSend.isEmpty() && !writing.getAndSet(true)) {
-            if (toSend.isEmpty()) {
-                halfClose();
-            } else {
-                toSend.add(END);
-                writers.give(new Writing());
-            }
-        } else {
+        if (!closing.getAndSet(true) && !gone.get()) {
             give(END);
         }
     }
--- a/instance/src/main/java/vetchrill/transport/Limits.java
+++ b/instance/src/main/java/vetchrill/transport/Limits.java
@@ -9,6 +9,9 @@
     /** Kept from connections: the runtime's own files, the listener, two links while one moves, reports, a reserve. */
     private static final int OTHER_DESCRIPTORS = 24;
 
+    /** What a key takes on the heap, with its timer. */
+    private static final int BYTES_PER_KEY = 320;
+
     /** What the program is given. */
     public final long memoryBytes;
 
@@ -38,6 +41,11 @@
     /** Bodies of open exchanges; past it exchanges are denied before they are kept, lest the heap run out. */
     public final long bodiesInAll;
 
+    /** Answers that are kept for repeats, in bytes; past it the oldest go, and their repeats get errors. */
+    public final long keptAnswers;
+    /** Exchanges that may come again and are remembered; past it such ones are denied before they are begun. */
+    public final int keptKeys;
+
     /** An arrival stamped earlier is taken to be so old. */
     public final long oldest = 600_000;
     /** A thread with nothing to do is kept so long, past those that always wait. */
@@ -97,5 +105,7 @@
         connectionsTold = Math.min(connectionsAtMost + connectionsAtMost / 8, most);
         unsentInAll = memoryBytes / 12;
         bodiesInAll = memoryBytes / 8;
+        keptAnswers = memoryBytes / 24;
+        keptKeys = (int) Math.min(Integer.MAX_VALUE, memoryBytes / 24 / BYTES_PER_KEY);
     }
 }
--- /dev/null
+++ b/lab/src/test/java/vetchrill/transport/LimitsTest.java
@@ -0,0 +1,17 @@
+package vetchrill.transport;
+
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+@Test
+public class LimitsTest {
+    public void connectionsLeaveDescriptorsForAllElse() {
+        for (int descriptors : new int[] {32, 48, 64, 100, 384, 512, 1_024, 65_536}) {
+            Limits limits = new Limits(64 << 20, descriptors);
+            assertTrue(limits.connections >= 1 && limits.connections <= limits.connectionsAtMost
+                    && limits.connectionsAtMost <= limits.connectionsTold
+                    && limits.connectionsTold <= Math.max(1, descriptors - 24), "of " + descriptors);
+        }
+    }
+}
