Stories: a later stop is told after an earlier one, and waits for a state have an end

The story of stops passed with a planted fault that believes later ones, as the earlier one came last: it comes first now. Spinning on a state had no end, and hung a run with a planted fault.

--- a/lab/src/test/java/vetchrill/program/CrossingsTest.java
+++ b/lab/src/test/java/vetchrill/program/CrossingsTest.java
@@ -105,11 +105,13 @@
                 long since = System.nanoTime();
                 world.terminate();
                 world.untilLogged("drain: 1 exchanges open");
-                world.instead.put("\"stop_ms\":5000", "\"stop_ms\":60000");
+                world.instead.put("\"stop_ms\":5000", "\"stop_ms\":3000");
                 world.replace(world.interpreter, world.members);
                 world.untilLogged("configuration read again");
-                world.instead.put("\"stop_ms\":5000", "\"stop_ms\":1500");
-                world.replace(world.interpreter, world.members);
+                StandIns.Members members = new StandIns.Members();
+                world.instead.put("\"stop_ms\":5000", "\"stop_ms\":60000");
+                world.replace(world.interpreter, members);
+                members.until("OUT");
                 assertEquals(stub.read(), new Stub.Frame(64, 0, 0, ""));
                 assertEquals(stub.read(), new Stub.Frame(4, 1, 69, "\0"));
                 assertNull(stub.read());
--- a/lab/src/test/java/vetchrill/transport/LingeringCloseTest.java
+++ b/lab/src/test/java/vetchrill/transport/LingeringCloseTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -74,6 +75,14 @@
         }, LIMITS.frame);
     }
 
+    private static void until(BooleanSupplier holds) {
+        long end = System.nanoTime() + 30_000_000_000L;
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "never came to be so");
+            Thread.onSpinWait();
+        }
+    }
+
     private void send(String text) throws IOException {
         peer.getOutputStream().write(text.getBytes());
     }
@@ -94,9 +103,7 @@
         assertEquals(soon(taken, "a message"), "first");
         connection.send(new byte[150 << 10]);
         connection.close();
-        while (!connection.isHalfClosed()) {
-            Thread.onSpinWait();
-        }
+        until(connection::isHalfClosed);
         send("f\nwhole\n");
         assertEquals(peer.getInputStream().readAllBytes().length, 150 << 10);
         peer.shutdownOutput();
@@ -136,13 +143,9 @@
         start();
         send("whole\nhal");
         assertEquals(soon(taken, "a message"), "whole");
-        while (!connection.isReceiving()) {
-            Thread.onSpinWait();
-        }
+        until(connection::isReceiving);
         send("f\n");
         assertEquals(soon(taken, "the other"), "half");
-        while (connection.isReceiving()) {
-            Thread.onSpinWait();
-        }
+        until(() -> !connection.isReceiving());
     }
 }
