Tests start instances with default signals, as the deployed command does

Seen: a verify started by nohup failed four stories of SIGHUP, two of them old, with the program's own line that the signal was ignored at its start; without nohup they pass. The verdict hung on who started the tests.

--- a/lab/src/test/java/vetchrill/StandIns.java
+++ b/lab/src/test/java/vetchrill/StandIns.java
@@ -88,7 +88,9 @@
     /** Starts the program as a process of its own and does not wait for it. */
     public StandIns start() throws IOException {
         String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
-        return start(new ProcessBuilder(System.getProperty("java.home") + "/bin/java",
+        // As the deployed command does: whoever starts the tests may ignore SIGHUP, and their verdict is the same.
+        return start(new ProcessBuilder("env", "--default-signal=HUP,TERM",
+                System.getProperty("java.home") + "/bin/java",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", path, "vetchrill.Main", "serve"));
     }
 
