--- a/instance/src/main/java/vetchrill/routing/Book.java
+++ b/instance/src/main/java/vetchrill/routing/Book.java
@@ -277,7 +277,8 @@
         lingering.removeIf(stub -> stub.connection.isClosed());
         int room = limits.connectionsAtMost - open;
         for (Stub stub : List.copyOf(lingering)) {
-            if (room < 1 && stub.closedAt < latest) {
+            // A crowd would fill the table with what lingers, and keep others waiting for it.
+            if (open > limits.connections && stub.closedAt < latest) {
                 stub.connection.abort();
                 lingering.remove(stub);
                 room++;
@@ -310,7 +311,12 @@
         stub.closed = true;
         stub.closedAt = thread.now();
         stubs.remove(stub);
-        stub.connection.close();
+        if (stub.heard) {
+            stub.connection.close();
+        } else {
+            // It is owed nothing, and by hundreds those would cost what the others need.
+            stub.connection.abort();
+        }
         if (!stub.connection.isClosed()) {
             lingering.add(stub);
             endAt(stub.closedAt + limits.closeWait, stub);
