--- a/instance/src/main/java/vetchrill/routing/Book.java
+++ b/instance/src/main/java/vetchrill/routing/Book.java
@@ -311,7 +311,7 @@
         stub.closed = true;
         stub.closedAt = thread.now();
         stubs.remove(stub);
-        if (stub.heard) {
+        if (stub.heard || stub.ended) {
             stub.connection.close();
         } else {
             // It is owed nothing, and by hundreds those would cost what the others need.
