Read again: no search for an idle connection while there is room; one pause for stand-ins and product

Book.makeRoom looked through all connections twice for each one that opened, with a look at its socket, before it asked whether the table is full at all: now the question comes first. Peers.pause was Resources.pause over again.

--- a/instance/src/main/java/vetchrill/routing/Book.java
+++ b/instance/src/main/java/vetchrill/routing/Book.java
@@ -264,8 +264,11 @@
         for (Stub stub : stubs) {
             kept += stub.closing ? 0 : 1;
         }
-        for (Stub longest = longestIdle(latest, false); kept > limits.connections && longest != null;
-                longest = longestIdle(latest, false)) {
+        while (kept > limits.connections) {
+            Stub longest = longestIdle(latest, false);
+            if (longest == null) {
+                break;
+            }
             kept--;
             evicted++;
             if (longest.heard) {
@@ -285,9 +288,11 @@
             }
         }
         // What was closed gives its descriptor back only then, so a few more give way than there are to come just now.
-        for (Stub longest = longestIdle(latest, true);
-                room < 1 && longest != null && lingering.size() < limits.roomAtOnce;
-                longest = longestIdle(latest, true)) {
+        while (room < 1 && lingering.size() < limits.roomAtOnce) {
+            Stub longest = longestIdle(latest, true);
+            if (longest == null) {
+                return;
+            }
             evicted += longest.closing ? 0 : 1;
             close(longest);
         }
--- a/lab/src/main/java/vetchrill/standin/Membership.java
+++ b/lab/src/main/java/vetchrill/standin/Membership.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import vetchrill.transport.Resources;
 
 /** The membership service: it takes reports and answers them with a status that may be changed; 0 for no answer. */
 public final class Membership implements Closeable {
@@ -42,7 +43,7 @@
                             .getBytes(StandardCharsets.US_ASCII);
                     for (int from = 0; from < answer.length; from += slowly > 0 ? 1 : answer.length) {
                         socket.getOutputStream().write(answer, from, slowly > 0 ? 1 : answer.length);
-                        Peers.pause(slowly);
+                        Resources.pause(10L * slowly);
                     }
                 }
             }
--- a/lab/src/main/java/vetchrill/standin/Peers.java
+++ b/lab/src/main/java/vetchrill/standin/Peers.java
@@ -40,14 +40,6 @@
         }).start();
     }
 
-    static void pause(int millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Without its end; null at the end of the input. */
     static String line(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
