Review: cases end with 2 where they can't run, sixteen bad connections in case 2

An exception in a stand-in ended a script with 1, as if the rule was broken; now with 2, and a killed script ends its instance as well.

--- a/review/standin/CaseGivenUp.java
+++ b/review/standin/CaseGivenUp.java
@@ -20,23 +20,23 @@
     private static final int MOST_OPEN = 32;
     private static final int SLACK_MS = 150;
 
-    public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result = 2;
-        Rig rig = new Rig(args[0]);
-        try (rig; Rig.Membership members = new Rig.Membership(rig);
+    public static void main(String[] args) {
+        Rig.run(args[0], CaseGivenUp::start);
+    }
+
+    private static int start(Rig rig, boolean trouble) throws Exception {
+        try (Rig.Membership members = new Rig.Membership(rig);
                 Rig.Interpreter interpreter = new Rig.Interpreter(rig, 6)) {
             interpreter.runMs = RUN_MS;
             int port = Rig.freePort();
             Process process = rig.startInstance("n1", Setup.config(rig, "n1", port, interpreter.port(),
                     members.port(), 3200, 192, 512, "single_shot", 5000));
             if (rig.awaitReady(interpreter, port, process)) {
-                result = play(rig, interpreter, process, port, trouble);
-            } else {
-                rig.say("the instance was not ready in 30 s");
+                return play(rig, interpreter, process, port, trouble);
             }
+            rig.say("the instance was not ready in 30 s");
+            return 2;
         }
-        System.exit(result);
     }
 
     private static int play(Rig rig, Rig.Interpreter interpreter, Process process, int port, boolean trouble)
--- a/review/standin/CaseSameId.java
+++ b/review/standin/CaseSameId.java
@@ -11,11 +11,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A client that sends the ids of open requests with a different body on four connections, beside a usual client stub whose requests these
+ * A client that sends the ids of open requests with a different body on sixteen connections, beside a usual client stub whose requests these
  * are. Rule: what the stub has written gets its final answer by its due time.
  */
 final class CaseSameId {
-    private static final int BAD_CONNECTIONS = 4;
+    private static final int BAD_CONNECTIONS = 16;
     private static final int RUN_MS = 90;
     private static final int STUB_PERIOD_MS = 17;
     private static final int QUIET_MS = 3_000;
@@ -28,23 +28,23 @@
     private final AtomicLong badServed = new AtomicLong();
     private final AtomicLong badAnswered = new AtomicLong();
 
-    public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result = 2;
-        Rig rig = new Rig(args[0]);
-        try (rig; Rig.Membership members = new Rig.Membership(rig);
+    public static void main(String[] args) {
+        Rig.run(args[0], CaseSameId::start);
+    }
+
+    private static int start(Rig rig, boolean trouble) throws Exception {
+        try (Rig.Membership members = new Rig.Membership(rig);
                 Rig.Interpreter interpreter = new Rig.Interpreter(rig, 6)) {
             interpreter.runMs = RUN_MS;
             int port = Rig.freePort();
             Process process = rig.startInstance("n1", Setup.config(rig, "n1", port, interpreter.port(),
                     members.port(), 3200, 192, 512, "single_shot", 5000));
             if (rig.awaitReady(interpreter, port, process)) {
-                result = new CaseSameId().play(rig, interpreter, process, port, trouble);
-            } else {
-                rig.say("the instance was not ready in 30 s");
+                return new CaseSameId().play(rig, interpreter, process, port, trouble);
             }
+            rig.say("the instance was not ready in 30 s");
+            return 2;
         }
-        System.exit(result);
     }
 
     private int play(Rig rig, Rig.Interpreter interpreter, Process process, int port, boolean trouble)
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -44,7 +45,7 @@
     final File root;
     final long begun = System.currentTimeMillis();
     private final PrintWriter record;
-    private final List<Process> processes = new ArrayList<>();
+    private final List<Process> processes = new CopyOnWriteArrayList<>();
     private final Random random = new Random(42);
 
     Rig(String recordFile) throws IOException {
@@ -53,6 +54,24 @@
         record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)));
     }
 
+    /** Plays a case; returns 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+    interface Case {
+        int play(Rig rig, boolean trouble) throws Exception;
+    }
+
+    /** Ends this process with the result of the case, after all that it has started has been ended. */
+    static void run(String recordFile, Case each) {
+        int result = 2;
+        try (Rig rig = new Rig(recordFile)) {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> rig.processes.forEach(Process::destroyForcibly)));
+            result = each.play(rig, !"0".equals(System.getenv("TROUBLE")));
+        } catch (Exception e) {
+            e.printStackTrace();
+            result = 2;
+        }
+        System.exit(result);
+    }
+
     /** Adds a line to record.txt, with the milliseconds since the start. */
     synchronized void note(String text) {
         record.println((System.currentTimeMillis() - begun) + " " + text);
