Stuck runs are found from the first tick on, not only after the interpreter's age

Callers saw: nothing refused and health good while all runs of a freshly started instance hung, for as long as the interpreter had been up before.

Cause: OverloadController counts a tick that comes late as a pause of the process, in which runs make no progress, and moves the time of the last progress on by it. Before the first tick it measured from the start of the interpreter, which may be minutes ago, so a run started before that tick could not count as stuck for that long.

The delay is now measured from when the tick was requested, which is what a pause delays. The interpreter's age has no part in it any more.

runStartedBeforeTheFirstTickMayCountAsStuck fails without the change: actions [begin a, healthy, ..., terminate a].

--- a/instance/src/main/java/vetchrill/control/OverloadController.java
+++ b/instance/src/main/java/vetchrill/control/OverloadController.java
@@ -196,7 +196,7 @@
     private boolean shedSinceTick;
     /** Load hint for callers that send nothing below a minimum rank. */
     private double minRank;
-    private long lastTickAt;
+    private long tickRequestedAt;
     /** When a run last ended or asked for a call, or the first of the present runs started. */
     private long lastProgressAt;
     private boolean runsStuck;
@@ -222,7 +222,6 @@
         this.now = now;
         random = new SplittableRandom(seed);
         createdAt = now;
-        lastTickAt = now;
         runLimit = deployment.cores;
         idleTime = deployment.callerIdleTime;
         reportedIdleTime = idleTime;
@@ -370,8 +369,7 @@
         averageRunnable += (runnable - averageRunnable) * RUNNABLE_SMOOTHING_RATIO;
         this.openConnections = openConnections;
         // After a pause of the whole process the timer is late, and runs had no chance to make progress.
-        lastProgressAt += Math.max(0, now - lastTickAt - 2 * TICK_INTERVAL_TENTHS_MS);
-        lastTickAt = now;
+        lastProgressAt += Math.max(0, now - tickRequestedAt - 2 * TICK_INTERVAL_TENTHS_MS);
         tickPending = true;
     }
 
@@ -436,6 +434,7 @@
     public boolean next(Host host) {
         if (tickPending) {
             tickPending = false;
+            tickRequestedAt = now;
             deadlineCheckPending = true;
             updateLimitsAndHealth();
             host.scheduleTick(TICK_INTERVAL_TENTHS_MS);
--- a/instance/src/test/java/vetchrill/control/DecisionsTest.java
+++ b/instance/src/test/java/vetchrill/control/DecisionsTest.java
@@ -156,6 +156,17 @@
         assertTrue(scenario.decide().contains("begin new"));
     }
 
+    /** Guards against the time before the first tick being taken for a pause of the process, which hides stuck runs. */
+    public void runStartedBeforeTheFirstTickMayCountAsStuck() {
+        ControllerScenario scenario = new ControllerScenario();
+        scenario.deployment.discoveryFollowsHealth = true;
+        scenario.controller();
+        scenario.now += 60 * SECOND;
+        scenario.arrive("a", scenario.repeatable);
+        List<String> actions = scenario.advance(6 * SECOND);
+        assertTrue(actions.contains("unhealthy"), actions.toString());
+    }
+
     public void oneLongRunDoesNotCountAsStuck() {
         ControllerScenario scenario = new ControllerScenario();
         scenario.completeRuns(scenario.repeatable, 3, 50 * MS);
