A rejected or finished exchange no longer stays in memory for the window of its key

Cause: OverloadController.storedKeys held each exchange with its body until the window of its key had passed, and the expiry timer of IdempotencyCache.storeKey held its key and entry for longer still, also where the exchange had been rejected and its key dropped. No limit counted either, and rejections come at any rate.

Change: the controller keeps a StoredKey without a reference to the exchange and removes it with the key; timers can be cancelled, and a dropped key cancels its own. Related: exchanges that ran were kept for the window too, which a usual load with a long window fills the heap by; a key stored again after its window left the timer of the first. The summary line shows keys and timers.

--- a/instance/src/main/java/vetchrill/control/Exchange.java
+++ b/instance/src/main/java/vetchrill/control/Exchange.java
@@ -41,7 +41,8 @@
     /** It has its final answer, or its caller has disconnected. */
     boolean answered;
     boolean everStarted;
-    boolean keyStored;
+    /** Null if its key has not been stored; it may have expired or been dropped since. */
+    StoredKey storedKey;
     /** Its run was preempted, and its work is kept until it resumes. */
     boolean paused;
     /** Its run is to be preempted and has not ended yet. */
--- a/instance/src/main/java/vetchrill/control/OverloadController.java
+++ b/instance/src/main/java/vetchrill/control/OverloadController.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import vetchrill.control.EndpointGroup.Effect;
 import vetchrill.control.Exchange.Outcome;
@@ -157,7 +159,8 @@
     private final ArrayDeque<Exchange> toDeduplicate = new ArrayDeque<>();
     private final ArrayDeque<Exchange> keysToDrop = new ArrayDeque<>();
     private final ArrayDeque<Exchange> toInterrupt = new ArrayDeque<>();
-    private final ArrayDeque<Exchange> storedKeys = new ArrayDeque<>();
+    /** The keys that take memory, in the order in which they were stored. */
+    private final Set<StoredKey> storedKeys = new LinkedHashSet<>();
 
     private double memoryUsedKb;
     private double cpuUsage;
@@ -423,7 +426,7 @@
             endCallInFlight(true);
         }
         ex.stage = Stage.FINISHED;
-        if (ex.keyStored && !ex.everStarted) {
+        if (ex.storedKey != null && !ex.everStarted) {
             keysToDrop.add(ex);
         }
     }
@@ -514,8 +517,8 @@
         for (int i = 0; i < arrivalRateByCustomer.length; i++) {
             arrivalRateByCustomer[i] *= decayRatio;
         }
-        while (!storedKeys.isEmpty() && storedKeys.peek().arrivedAt + storedKeys.peek().group.dedupWindow < now) {
-            releaseKeyMemory(storedKeys.poll());
+        while (!storedKeys.isEmpty() && storedKeys.iterator().next().expiresAt < now) {
+            releaseKeyMemory(storedKeys.iterator().next());
         }
     }
 
@@ -551,8 +554,8 @@
             }
             long ttl = ex.arrivedAt + ex.group.dedupWindow - now;
             if (ttl > 0) {
-                ex.keyStored = true;
-                storedKeys.add(ex);
+                ex.storedKey = new StoredKey(now + ttl);
+                storedKeys.add(ex.storedKey);
                 memoryUsedKb += deployment.dedupKeyKb;
                 host.storeDedupKey(ex, ttl + deployment.hostQuantum);
                 return true;
@@ -568,7 +571,7 @@
     private boolean dropUnusedKeys(Host host) {
         while (!keysToDrop.isEmpty()) {
             Exchange ex = keysToDrop.poll();
-            if (releaseKeyMemory(ex)) {
+            if (releaseKeyMemory(ex.storedKey)) {
                 host.dropDedupKey(ex);
                 return true;
             }
@@ -577,9 +580,8 @@
     }
 
     /** Returns whether the key was still stored. */
-    private boolean releaseKeyMemory(Exchange ex) {
-        boolean wasStored = ex.keyStored;
-        ex.keyStored = false;
+    private boolean releaseKeyMemory(StoredKey key) {
+        boolean wasStored = storedKeys.remove(key);
         memoryUsedKb -= wasStored ? deployment.dedupKeyKb : 0;
         return wasStored;
     }
--- a/instance/src/main/java/vetchrill/routing/DecisionThread.java
+++ b/instance/src/main/java/vetchrill/routing/DecisionThread.java
@@ -1,7 +1,7 @@
 package vetchrill.routing;
 
 import java.util.Comparator;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import vetchrill.transport.Limits;
@@ -15,12 +15,12 @@
     private static final int MICROS_PER_TENTH_MS = 100;
 
     /** {@code sequence} keeps timers that are due at the same time in the order in which they were set. */
-    private record Timer(long dueAt, long sequence, Runnable action) {
+    record Timer(long dueAt, long sequence, Runnable action) {
     }
 
     private final ArrayBlockingQueue<Runnable> tasks;
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparingLong(Timer::dueAt).thenComparingLong(Timer::sequence));
+    private final TreeSet<Timer> timers =
+            new TreeSet<>(Comparator.comparingLong(Timer::dueAt).thenComparingLong(Timer::sequence));
     private final Clock clock;
     private final Limits limits;
     private long timersScheduled;
@@ -48,9 +48,20 @@
         return clock.now();
     }
 
-    /** Runs the action at that time; on the decision thread only. */
-    void schedule(long dueAt, Runnable action) {
-        timers.add(new Timer(dueAt, timersScheduled++, action));
+    /** Runs the action at that time, unless it is cancelled before; on the decision thread only. */
+    Timer schedule(long dueAt, Runnable action) {
+        Timer timer = new Timer(dueAt, timersScheduled++, action);
+        timers.add(timer);
+        return timer;
+    }
+
+    /** Releases a timer and what its action refers to; has no effect once it has run. On the decision thread only. */
+    void cancel(Timer timer) {
+        timers.remove(timer);
+    }
+
+    int timerCount() {
+        return timers.size();
     }
 
     /** Runs until interrupted; calls {@code decide} after each batch of tasks and timers. */
@@ -65,7 +76,7 @@
 
     /** When the next timer is due; Long.MAX_VALUE if there is none. */
     public long nextTimerDueAt() {
-        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueAt;
+        return timers.isEmpty() ? Long.MAX_VALUE : timers.first().dueAt;
     }
 
     /** Whether a task waits in the queue. */
@@ -87,8 +98,8 @@
             task.run();
             task = i < limits.inputQueueCapacity ? tasks.poll() : null;
         }
-        while (!timers.isEmpty() && timers.peek().dueAt <= clock.now()) {
-            timers.poll().action.run();
+        while (!timers.isEmpty() && timers.first().dueAt <= clock.now()) {
+            timers.pollFirst().action.run();
         }
         decide.run();
         longestIteration = Math.max(longestIteration, clock.now() - startedAt);
--- a/instance/src/main/java/vetchrill/routing/IdempotencyCache.java
+++ b/instance/src/main/java/vetchrill/routing/IdempotencyCache.java
@@ -42,6 +42,7 @@
         /** The whole answer; null before there is one, if the run had no result, and if it was dropped for space. */
         private byte[] answerFrame;
         private final List<OpenExchange> waitingRepeats = new ArrayList<>(0);
+        private DecisionThread.Timer expiry;
 
         private Entry(OpenExchange original, long validUntil) {
             this.original = original;
@@ -79,6 +80,10 @@
         return entriesByKey.size() >= limits.maxStoredKeys;
     }
 
+    int keyCount() {
+        return entriesByKey.size();
+    }
+
     /** Stores the key of an exchange for {@code ttl} from now. */
     void storeKey(OpenExchange ex, long ttl) {
         Key key = ex.idempotencyKey;
@@ -86,7 +91,7 @@
         ex.cacheEntry = entry;
         entriesByKey.put(key, entry);
         // A repeat that arrived in time may be read until its own deadline; after that it is not run in any case.
-        thread.schedule(entry.validUntil + ex.group.asyncTimeout, () -> {
+        entry.expiry = thread.schedule(entry.validUntil + ex.group.asyncTimeout, () -> {
             entriesByKey.remove(key, entry);
             dropAnswer(entry);
         });
@@ -96,7 +101,10 @@
      * For an exchange that has not run: repeats waiting for it get an error, and the next attempt is a new exchange.
      */
     void dropKey(OpenExchange ex) {
-        if (ex.cacheEntry != null && entriesByKey.remove(ex.idempotencyKey, ex.cacheEntry)) {
+        if (ex.cacheEntry != null) {
+            entriesByKey.remove(ex.idempotencyKey, ex.cacheEntry);
+            // Rejected exchanges come without a limit on their rate, so nothing of them may stay until the expiry.
+            thread.cancel(ex.cacheEntry.expiry);
             onRunFinished(ex, null);
         }
     }
--- a/instance/src/main/java/vetchrill/routing/ProcessingChain.java
+++ b/instance/src/main/java/vetchrill/routing/ProcessingChain.java
@@ -35,6 +35,7 @@
     private final Limits limits;
     private final HealthReporter healthReporter;
     private final DecisionExecutor decisionExecutor;
+    private final IdempotencyCache idempotencyCache;
     private final IoTask.Executor readers;
     private final IoTask.Executor writers;
     private InterpreterLink link;
@@ -72,7 +73,7 @@
         admission = new AdmissionStage(settings, seed, clock, registry, limits, peerLog, recorder);
         interpreterClient = new InterpreterClient(limits, thread, clock, registry, admission, recorder);
         healthReporter = new HealthReporter(membership, limits);
-        IdempotencyCache idempotencyCache = new IdempotencyCache(limits, thread, registry, admission);
+        idempotencyCache = new IdempotencyCache(limits, thread, registry, admission);
         admission.setIdempotencyCache(idempotencyCache);
         decisionExecutor = new DecisionExecutor(clock, thread, registry, interpreterClient, healthReporter,
                 idempotencyCache);
@@ -241,11 +242,13 @@
     private void logSummary() {
         LOG.log(System.Logger.Level.INFO, "summary: completed {0} denied {1} terminated {2}; {3} exchanges open "
                 + "on {4} connections; {5} connections closed idle, {6} evicted; {7} log lines suppressed; "
-                + "oldest arrival {8} ms, longest iteration {9} ms, longest queue {10}, {11} ticks without gauges",
+                + "oldest arrival {8} ms, longest iteration {9} ms, longest queue {10}, {11} ticks without gauges; "
+                + "{12} keys stored, {13} timers",
                 registry.completed, registry.denied, registry.terminated, registry.openCount(),
                 registry.connectionCount(), registry.closedIdle, registry.evicted,
                 peerLog.resetAndCountSuppressed(), admission.maxArrivalAge / 10,
-                thread.longestIteration / 10, thread.maxQueueLength, interpreterClient.ticksWithoutGauges);
+                thread.longestIteration / 10, thread.maxQueueLength, interpreterClient.ticksWithoutGauges,
+                idempotencyCache.keyCount(), thread.timerCount());
         admission.maxArrivalAge = 0;
         thread.longestIteration = 0;
         thread.maxQueueLength = 0;
--- a/instance/src/test/java/vetchrill/control/DecisionsTest.java
+++ b/instance/src/test/java/vetchrill/control/DecisionsTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
@@ -380,4 +381,38 @@
         assertTrue(rejected > 3000, "rejected " + rejected);
         assertTrue(elapsedMs < 1500, elapsedMs + " ms");
     }
+
+    /** Guards against a heap full of the bodies of exchanges that have ended, in windows of any length. */
+    public void exchangeThatHasEndedIsNotRetainedWithItsKey() throws InterruptedException {
+        ControllerScenario scenario = new ControllerScenario();
+        List<WeakReference<Exchange>> ended = endedExchangesWithKeys(scenario);
+        assertEquals(ended.size(), 40);
+        for (int i = 0; i < 50 && ended.stream().anyMatch(each -> each.get() != null); i++) {
+            System.gc();
+            Thread.sleep(20);
+        }
+        assertEquals(ended.stream().filter(each -> each.get() != null).count(), 0);
+        scenario.arrive("later", scenario.deduplicated);
+        assertTrue(scenario.decide().contains("store key later"), "the controller is still in use");
+    }
+
+    /** Twenty exchanges that ran, then twenty that were rejected after their keys had been stored. */
+    private static List<WeakReference<Exchange>> endedExchangesWithKeys(ControllerScenario scenario) {
+        List<WeakReference<Exchange>> ended = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Exchange ex = scenario.arrive("run", scenario.deduplicated);
+            assertTrue(scenario.decide().contains("begin run"));
+            scenario.complete(ex);
+            scenario.decide();
+            ended.add(new WeakReference<>(ex));
+        }
+        scenario.controller().startDrain(scenario.now + 60 * SECOND, scenario.now - 60 * SECOND);
+        for (int i = 0; i < 20; i++) {
+            Exchange ex = scenario.arrive("late", scenario.deduplicated);
+            List<String> actions = scenario.decide();
+            assertTrue(actions.containsAll(List.of("store key late", "reject late", "drop key late")), "" + actions);
+            ended.add(new WeakReference<>(ex));
+        }
+        return ended;
+    }
 }
--- a/lab/src/test/java/vetchrill/InstanceRig.java
+++ b/lab/src/test/java/vetchrill/InstanceRig.java
@@ -44,6 +44,8 @@
     /** Text replacements in the configuration, from key to value, made when it is written. */
     public final Map<String, String> replacements = new TreeMap<>();
     public int port;
+    /** The least level of the log lines that the instance writes. */
+    public String logLevel = "DEBUG";
     private final List<Closeable> openStubs = new ArrayList<>();
     private Process process;
     private Path configFile;
@@ -106,7 +108,7 @@
         configFile = Files.createTempFile("vetchrill", ".json");
         Files.writeString(configFile, configuration(interpreter.port(), membership));
         builder.environment().put("GW_CONFIG", configFile.toString());
-        builder.environment().put("VETCHRILL_LOG", "DEBUG");
+        builder.environment().put("VETCHRILL_LOG", logLevel);
         builder.environment().remove("GW_NAME");
         builder.environment().remove("GW_LISTEN");
         builder.redirectErrorStream(true);
