A process whose thread has failed ends even if it cannot write why

Cause: the handler for uncaught errors wrote a text before it ended the process; with a full heap that failed too, so the process went on without its threads. Its log has "OutOfMemoryError thrown from the UncaughtExceptionHandler" for readers, a writer, the listener and the reports over eight seconds before one thread got as far as the end.

Change: the handler is a class of its own and ends the process in a finally block; Runtime.halt allocates nothing.

processEndsThoughTheFailureCannotBeReported fails with the order of before (written as a class of its own, without finally, 0 halts instead of 1).

--- a/instance/src/main/java/vetchrill/program/InstanceRunner.java
+++ b/instance/src/main/java/vetchrill/program/InstanceRunner.java
@@ -87,12 +87,8 @@
             System.err.println("vetchrill: " + e.getMessage());
             return EXIT_INVALID_CONFIGURATION;
         }
-        Thread.setDefaultUncaughtExceptionHandler((failedThread, e) -> {
-            // An instance that has lost a thread must not go on partly working while it still reports good health.
-            System.err.println("vetchrill: thread " + failedThread.getName() + " failed");
-            e.printStackTrace();
-            Runtime.getRuntime().halt(EXIT_INTERNAL_ERROR);
-        });
+        Thread.setDefaultUncaughtExceptionHandler(
+                new ThreadFailureHandler(System.err, () -> Runtime.getRuntime().halt(EXIT_INTERNAL_ERROR)));
         CountDownLatch drained = new CountDownLatch(1);
         AtomicReference<StartConfiguration> current = new AtomicReference<>(configuration);
         LinkedBlockingQueue<Long> reloadedDrainTimes = new LinkedBlockingQueue<>();
