A connection with too many violations is told to close, and what its stub had sent is answered

Cause: after the eighth violation in the life of a connection StubFrameHandler stopped reading at once. Its stub was not told and went on writing; ExchangeRegistry.closeIfDrained then closed the connection over requests that were never read.

Change: at the limit the stub gets a go-away frame (type 64), after which it sends nothing new. Up to 32 more frames are read and handled as any other: that is how many a stub may have open, and so on their way. Then reading ends as before, so that a stub that sends nothing else still costs a bounded time.

stubThatSendsOnlyMalformedFramesIsClosedOnceItsExchangesAreAnswered asked for silence after the eighth frame, which is the fault. It now sends 98 bad frames instead of 38 and asks for exactly 40 errors, one go-away frame, the answer of the open exchange and the end of the connection.

--- a/instance/src/main/java/vetchrill/routing/AdmissionStage.java
+++ b/instance/src/main/java/vetchrill/routing/AdmissionStage.java
@@ -173,10 +173,21 @@
         }
     }
 
-    /** Logs input that no correct stub sends; {@link StubFrameHandler} stops reading after too much of it. */
+    /** Logs input that no correct stub sends, and counts it against the connection that it came from. */
     void countViolation(OpenExchange ex, String violation) {
-        ex.stub.violations.incrementAndGet();
         peerLog.warn(LOG, "invalid input from a stub: {0}", violation);
+        if (ex.stub.countViolation(limits.maxInvalidFrames)) {
+            onViolationLimit(ex.stub);
+        }
+    }
+
+    /**
+     * Has a connection with too many violations closed. Its stub is told first, and {@link StubFrameHandler} reads on
+     * for what it has already sent: valid exchanges among that must not be lost.
+     */
+    void onViolationLimit(StubConnection stub) {
+        peerLog.warn(LOG, "closing a connection after {0} invalid frames", limits.maxInvalidFrames);
+        registry.drainAndClose(stub);
     }
 
     /** Answers an exchange that never became open. */
--- a/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
+++ b/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
@@ -55,7 +55,7 @@
         if (connectionsDraining) {
             drainConnection(stub);
         } else if (connectionCount > limits.maxConnections) {
-            drainAndClose(stub, thread.now());
+            drainAndClose(stub);
         }
     }
 
@@ -227,7 +227,7 @@
         for (StubConnection stub : idle) {
             if (stub.frameReceived) {
                 closedIdle++;
-                drainAndClose(stub, now);
+                drainAndClose(stub);
             } else {
                 closeConnection(stub);
             }
@@ -245,9 +245,9 @@
     }
 
     /** Asks the stub to close the connection: requests that cross this message are answered and not lost. */
-    private void drainAndClose(StubConnection stub, long now) {
+    void drainAndClose(StubConnection stub) {
         drainConnection(stub);
-        scheduleClose(now + limits.closeTimeoutTenthsMs, stub);
+        scheduleClose(thread.now() + limits.closeTimeoutTenthsMs, stub);
     }
 
     /** Closes the connection if the stub has not; waits again while an exchange is open or partly received. */
@@ -284,7 +284,7 @@
             notDraining--;
             evicted++;
             if (evictee.frameReceived) {
-                drainAndClose(evictee, now);
+                drainAndClose(evictee);
             } else {
                 closeConnection(evictee);
             }
--- a/instance/src/main/java/vetchrill/routing/StubConnection.java
+++ b/instance/src/main/java/vetchrill/routing/StubConnection.java
@@ -11,8 +11,8 @@
     final Map<Integer, OpenExchange> openByStream = new LinkedHashMap<>();
     /** Exchanges that were read from it and still wait for the decision thread. */
     final AtomicInteger queuedArrivals = new AtomicInteger();
-    /** Input that no correct stub sends; after a few of these nothing more is read from it. */
-    final AtomicInteger violations = new AtomicInteger();
+    /** Frames that no correct stub sends. */
+    private final AtomicInteger violations = new AtomicInteger();
     /** When the last whole frame was read or the last answer sent; at first, when it was accepted. */
     volatile long lastUsedAt;
     /** A whole frame has been received. */
@@ -38,6 +38,19 @@
         frameReceived = true;
     }
 
+    /** Counts a violation; true for the one that reaches {@code limit}. On any thread. */
+    boolean countViolation(int limit) {
+        return violations.incrementAndGet() == limit;
+    }
+
+    boolean hasViolations() {
+        return violations.get() > 0;
+    }
+
+    boolean isViolationLimitReached(int limit) {
+        return violations.get() >= limit;
+    }
+
     /** Whether no exchange is open or on its way to the decision thread. */
     boolean isIdle() {
         return openByStream.isEmpty() && queuedArrivals.get() == 0;
--- a/instance/src/main/java/vetchrill/routing/StubFrameHandler.java
+++ b/instance/src/main/java/vetchrill/routing/StubFrameHandler.java
@@ -32,6 +32,8 @@
     /** Null when recording is off. */
     private final Recorder recorder;
     private final Fields fields = new Fields();
+    /** Frames read since the violation limit was reached. */
+    private int framesAfterLimit;
 
     StubFrameHandler(DeploymentReader settings, Limits limits, DecisionThread thread, Clock clock, StubConnection stub,
             AdmissionStage admission, ExchangeRegistry registry, HealthReporter healthReporter,
@@ -69,11 +71,13 @@
 
     /**
      * Whether to read on. A stub of another version may send a malformed frame now and then and keeps its connection;
-     * one that sends nothing else would take a share of the single core without end. Its open exchanges are answered
-     * before the connection is closed.
+     * one that sends nothing else would take a share of the single core without end. After the limit the stub is told
+     * to close, and as many frames are read as a correct stub may have on their way by then. Its open exchanges are
+     * answered before the connection is closed.
      */
     private boolean keepsReading() {
-        return stub.violations.get() < limits.maxInvalidFrames;
+        return !stub.isViolationLimitReached(limits.maxInvalidFrames)
+                || framesAfterLimit++ < limits.maxExchangesPerConnection;
     }
 
     /** Posts the exchange to the decision thread; returns what is wrong with the frame, or null. */
@@ -175,9 +179,12 @@
 
     /** Logs the first violation of each connection only. */
     private void countViolation(String violation) {
-        if (stub.violations.getAndIncrement() == 0) {
+        if (!stub.hasViolations()) {
             peerLog.warn(LOG, "invalid input from a stub: {0}", violation);
         }
+        if (stub.countViolation(limits.maxInvalidFrames)) {
+            thread.post(() -> admission.onViolationLimit(stub));
+        }
     }
 
     @Override
--- a/instance/src/main/java/vetchrill/transport/Limits.java
+++ b/instance/src/main/java/vetchrill/transport/Limits.java
@@ -103,7 +103,7 @@
     /** A draining process may hold the same address for this time. */
     public final long bindTimeoutTenthsMs = 100_000;
     public final long bindRetryTenthsMs = 500;
-    /** Invalid frames after which a connection is no longer read. */
+    /** Invalid frames after which the stub is told to close its connection. */
     public final int maxInvalidFrames = 8;
     /** Log lines about the behaviour of peers between two summaries. */
     public final int maxPeerLogLines = 20;
--- a/lab/src/test/java/vetchrill/program/InstanceRunnerTest.java
+++ b/lab/src/test/java/vetchrill/program/InstanceRunnerTest.java
@@ -7,6 +7,7 @@
 import static org.testng.Assert.assertTrue;
 import static vetchrill.InstanceRig.awaitNext;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
@@ -27,6 +28,7 @@
     private static final String A = "00000000000000aa";
     private static final String B = "00000000000000bb";
     private static final int VIOLATION_LIMIT = 8;
+    private static final int MAX_OPEN = 32;
 
     public void exchangeIsRunAndItsResultIsReturnedUnchanged() throws Exception {
         try (InstanceRig rig = new InstanceRig().startHealthy(); StubClient stub = rig.connectStub()) {
@@ -329,6 +331,7 @@
         }
     }
 
+    /** Nothing past the violation limit and the frames that may cross the go-away frame is read, however many come. */
     public void stubThatSendsOnlyMalformedFramesIsClosedOnceItsExchangesAreAnswered() throws Exception {
         try (InstanceRig rig = new InstanceRig().startHealthy();
                 StubClient stub = rig.connectStub();
@@ -336,11 +339,16 @@
             awaitNext(rig.interpreter.commands, "a link");
             stub.sendExchange(1, "look", A, "");
             awaitNext(rig.interpreter.commands, "a run");
-            for (int i = 2; i < 40; i++) {
+            for (int i = 2; i < 100; i++) {
                 stub.sendExchange(i, "dance", B, "");
             }
-            for (int i = 2; i < 10; i++) {
-                assertEquals(stub.read(), new StubClient.Frame(4, i, 69, "\0"));
+            List<StubClient.Frame> frames = new ArrayList<>();
+            for (int i = 2; i < 2 + VIOLATION_LIMIT + MAX_OPEN + 1; i++) {
+                frames.add(stub.read());
+            }
+            assertTrue(frames.remove(new StubClient.Frame(64, 0, 0, "")), "it is told to close");
+            for (int i = 0; i < VIOLATION_LIMIT + MAX_OPEN; i++) {
+                assertEquals(frames.get(i), new StubClient.Frame(4, i + 2, 69, "\0"));
             }
             rig.interpreter.value(A, "good", "");
             assertEquals(stub.read(), new StubClient.Frame(4, 1, 79, "\0"));
@@ -349,6 +357,35 @@
         }
     }
 
+    /** Guards against requests that are lost as the connection of a stub with a few bad frames is read no further. */
+    public void validExchangesThatCrossTheGoAwayOfAnInvalidStubAreRun() throws Exception {
+        try (InstanceRig rig = new InstanceRig()) {
+            rig.replacements.put("\"cores\":4", "\"cores\":64");
+            rig.startHealthy();
+            StubClient stub = rig.connectStub();
+            awaitNext(rig.interpreter.commands, "a link");
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            for (int i = 1; i <= VIOLATION_LIMIT; i++) {
+                bytes.writeBytes(StubClient.exchange(i, "dance", B, ""));
+            }
+            for (int i = 1; i <= MAX_OPEN; i++) {
+                bytes.writeBytes(StubClient.exchange(100 + i, "look", String.format("%016x", i), ""));
+            }
+            stub.send(bytes.toByteArray());
+            for (int i = 1; i <= MAX_OPEN; i++) {
+                String id = awaitNext(rig.interpreter.commands, "run " + i).substring(6, 22);
+                rig.interpreter.value(id, "good", id);
+            }
+            List<StubClient.Frame> frames = new ArrayList<>();
+            for (StubClient.Frame frame = stub.read(); frame != null; frame = stub.read()) {
+                frames.add(frame);
+            }
+            assertEquals(frames.stream().filter(each -> each.type() == 4 && each.code() == 79).count(), MAX_OPEN);
+            assertEquals(frames.stream().filter(each -> each.type() == 64).count(), 1);
+            assertEquals(frames.size(), VIOLATION_LIMIT + MAX_OPEN + 1);
+        }
+    }
+
     /** Guards against a stub losing its connection over ids that another client has sent before it. */
     public void idsThatAnotherClientHasTakenAreNoViolationOfTheStub() throws Exception {
         try (InstanceRig rig = new InstanceRig()) {
