--- a/fuzz/src/test/java/vetchrill/fuzz/FuzzTest.java
+++ b/fuzz/src/test/java/vetchrill/fuzz/FuzzTest.java
@@ -72,6 +72,22 @@
         assertTrue(uncovered.isEmpty(), "no target covers " + uncovered);
     }
 
+    /** A planted fault that no longer fits its source would end `make measure-fuzz` instead of being looked for. */
+    public void everyPlantedFaultFitsItsSource() throws IOException {
+        List<String> unfit = new ArrayList<>();
+        try (var files = Files.list(Path.of("faults"))) {
+            for (Path file : files.sorted().toList()) {
+                FaultsCommand.Fault fault = FaultsCommand.Fault.read(file);
+                String source = Files.readString(Path.of("..").resolve(fault.file()));
+                int offset = source.indexOf(fault.original());
+                if (offset < 0 || source.indexOf(fault.original(), offset + 1) >= 0) {
+                    unfit.add(fault.name());
+                }
+            }
+        }
+        assertEquals(unfit, List.of());
+    }
+
     /** The fuzzer finds a known fault by coverage guidance and minimises its input. */
     public void plantedFaultIsFoundAndMinimised() {
         Target honest = FuzzCommand.selectTargets(FuzzTest.class.getClassLoader(), "frames").get(0);
