A connection whose input is unread is neither evicted nor closed as idle

Cause: ExchangeRegistry.isReceiving let unread input protect a connection for 50 ms after it was accepted, 2 s once a frame had come on it. Past 64 connections the longest idle is evicted, so with readers later than that new connections went with whole requests unread.

Ruled out by further lines: over 32 open exchanges, arrivals on closed connections, errors of readers.

Change: unread input protects a connection for as long as it is unread; part of a request keeps its limits. Each close by this side is logged at DEBUG with its reason.

connectionWithUnreadInputIsNotEvicted failed before.

--- a/instance/src/main/java/vetchrill/routing/AdmissionStage.java
+++ b/instance/src/main/java/vetchrill/routing/AdmissionStage.java
@@ -126,6 +126,8 @@
             ex.group = activeGroups.get(ex.groupIndex);
         }
         if (ex.stub.closed) {
+            LOG.log(System.Logger.Level.DEBUG, "exchange {0} arrived on a closed connection, closed {1} ms ago", ex.id,
+                    (now - ex.stub.closedAt) / 10);
             registry.closeUnregistered(ex, Recorder.DISCONNECTED);
             return;
         }
--- a/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
+++ b/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
@@ -16,6 +16,11 @@
  * connections and evicts the longest idle ones when the connection table is full. On the decision thread only.
  */
 final class ExchangeRegistry {
+    private static final System.Logger LOG = System.getLogger("vetchrill.registry");
+
+    /** Why a connection is closed by this side, for the log. */
+    private enum CloseReason { NO_FRAME, GO_AWAY_TIMEOUT, EVICTED, INPUT_ENDED }
+
     private final Limits limits;
     private final DecisionThread thread;
     private final AtomicLong openBodyBytes;
@@ -229,19 +234,22 @@
                 closedIdle++;
                 drainAndClose(stub);
             } else {
-                closeConnection(stub);
+                closeConnection(stub, CloseReason.NO_FRAME);
             }
         }
     }
 
     /**
-     * Whether bytes have arrived beyond the last whole frame: a request in pieces, or one that this process has not had
-     * time to read. A connection that never sent a whole frame has to be closed soon, so it gets only the short extra
-     * time that covers unread bytes.
+     * Whether bytes have arrived beyond the last whole frame. Unread ones may be a whole request, which this process
+     * has not had time to read, however long the connection has been idle. Part of a request counts for a limited time
+     * only, and for less on a connection that never sent a whole one, which has to be closed soon.
      */
     private boolean isReceiving(StubConnection stub, long allowedIdleTime, long now) {
+        if (stub.connection.hasUnreadInput()) {
+            return true;
+        }
         long messageTime = stub.frameReceived ? limits.partialMessageTimeoutTenthsMs : limits.closeRaceWindowTenthsMs;
-        return now - stub.lastUsedAt <= allowedIdleTime + messageTime && stub.connection.isReceiving();
+        return now - stub.lastUsedAt <= allowedIdleTime + messageTime && stub.connection.hasPartialMessage();
     }
 
     /** Asks the stub to close the connection: requests that cross this message are answered and not lost. */
@@ -255,7 +263,7 @@
         thread.schedule(dueAt, () -> {
             if (connections.contains(stub) && stub.isIdle()
                     && !isReceiving(stub, limits.closeTimeoutTenthsMs, thread.now())) {
-                closeConnection(stub);
+                closeConnection(stub, CloseReason.GO_AWAY_TIMEOUT);
             } else if (connections.contains(stub)) {
                 scheduleClose(dueAt + limits.closeTimeoutTenthsMs, stub);
             }
@@ -286,7 +294,7 @@
             if (evictee.frameReceived) {
                 drainAndClose(evictee);
             } else {
-                closeConnection(evictee);
+                closeConnection(evictee, CloseReason.EVICTED);
             }
         }
         lingering.removeIf(stub -> stub.connection.isClosed());
@@ -306,7 +314,7 @@
                 return;
             }
             evicted += evictee.draining ? 0 : 1;
-            closeConnection(evictee);
+            closeConnection(evictee, CloseReason.EVICTED);
         }
     }
 
@@ -324,7 +332,13 @@
         return longest;
     }
 
-    private void closeConnection(StubConnection stub) {
+    private void closeConnection(StubConnection stub, CloseReason reason) {
+        if (LOG.isLoggable(System.Logger.Level.DEBUG)) {
+            LOG.log(System.Logger.Level.DEBUG, "closing a connection: {0}, last used {1} ms ago, go-away sent {2}, "
+                    + "frames received {3}, input left {4}, {5} connections", reason,
+                    (thread.now() - stub.lastUsedAt) / 10, stub.draining, stub.frameReceived,
+                    stub.connection.isReceiving(), connections.size());
+        }
         stub.closed = true;
         stub.closedAt = thread.now();
         connections.remove(stub);
@@ -381,7 +395,7 @@
 
     private void closeIfDrained(StubConnection stub) {
         if (stub.readEnded && stub.openByStream.isEmpty() && connections.contains(stub)) {
-            closeConnection(stub);
+            closeConnection(stub, CloseReason.INPUT_ENDED);
         }
     }
 }
--- a/instance/src/main/java/vetchrill/transport/Connection.java
+++ b/instance/src/main/java/vetchrill/transport/Connection.java
@@ -168,9 +168,19 @@
         return aborted.get();
     }
 
-    /** Whether a message has arrived only in part, or the channel has input that the reader has not read yet. */
+    /** Whether there is input that does not belong to a message which was passed on. */
     public boolean isReceiving() {
-        return partialMessage || !aborted.get() && !inputEnded && !inputAbandoned && channel.hasUnread();
+        return hasPartialMessage() || hasUnreadInput();
+    }
+
+    /** Whether a message has been read only in part. */
+    public boolean hasPartialMessage() {
+        return partialMessage;
+    }
+
+    /** Whether the channel has input that the reader has not read yet and is going to read. */
+    public boolean hasUnreadInput() {
+        return !aborted.get() && !inputEnded && !inputAbandoned && channel.hasUnread();
     }
 
     /** Closes the channel immediately and discards unsent messages; reader and writer end. */
