An audit log continues after a segment that was created without its header

AuditWriter.resumeLog took the empty file for the last segment: it went on with the next number and left the empty one behind, and since that file had no block, with block 0 and an empty digest.

Change: segments at the end of a log that are shorter than a header hold no block; they are deleted, which is logged, and the log goes on after the segment before them under the same number. An empty segment in the middle of a log stays a finding.

--- a/peers/src/main/java/vetchrill/audit/AuditWriter.java
+++ b/peers/src/main/java/vetchrill/audit/AuditWriter.java
@@ -145,16 +145,16 @@
         writerThread.start();
     }
 
-    /** Continues the log of the previous process; an incomplete block at its end is cut off. */
+    /** Continues the log of the previous process; what it left incomplete at the end is removed. */
     private void resumeLog() throws IOException {
         List<Path> segments = AuditSegments.filesIn(config.directory()).stream()
                 .filter(each -> each.getFileName().toString().startsWith(name + "-")).toList();
-        if (segments.isEmpty()) {
+        int count = countWithoutTornStart(segments);
+        if (count == 0) {
             return;
         }
-        Path last = segments.get(segments.size() - 1);
-        String number = last.getFileName().toString().replaceAll(".*-(\\d+)\\.audit", "$1");
-        nextSegment = Long.parseLong(number) + 1;
+        Path last = segments.get(count - 1);
+        nextSegment = segmentNumber(last) + 1;
         long size = Files.size(last);
         AuditSegments.SegmentEnd end = AuditSegments.read(last, each -> { });
         if (end.intactBytes() < size) {
@@ -164,10 +164,28 @@
             LOG.log(System.Logger.Level.WARNING, "{0} ended with an incomplete block: {1} bytes cut off", last,
                     size - end.intactBytes());
         }
-        if (end.intactBytes() > 0) {
-            lastDigest = end.digest();
-            nextBlock = end.nextBlock();
+        lastDigest = end.digest();
+        nextBlock = end.nextBlock();
+    }
+
+    /**
+     * Deletes the segments at the end of the log that the previous process created without writing their whole header;
+     * they hold no block. Returns how many segments are left.
+     */
+    private static int countWithoutTornStart(List<Path> segments) throws IOException {
+        int count = segments.size();
+        while (count > 0 && Files.size(segments.get(count - 1)) < AuditSegments.HEADER_BYTES) {
+            count--;
+            Path torn = segments.get(count);
+            LOG.log(System.Logger.Level.WARNING, "{0} ended within its header: {1} bytes deleted", torn,
+                    Files.size(torn));
+            Files.delete(torn);
         }
+        return count;
+    }
+
+    private static long segmentNumber(Path segment) {
+        return Long.parseLong(segment.getFileName().toString().replaceAll(".*-(\\d+)\\.audit", "$1"));
     }
 
     /** The value of a counter, such as {@link #DECIDED_COUNTER}. */
