The fuzzer's command and its test share the check that a planted fault fits its source

The check that the text to replace occurs once stood in FaultsCommand.compile and again in everyPlantedFaultFitsItsSource; both now call Fault.offsetIn. Behaviour and assertions are the same; that test passes, and so does the lint of all modules.

--- a/fuzz/src/main/java/vetchrill/fuzz/FaultsCommand.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/FaultsCommand.java
@@ -42,6 +42,12 @@
             return new Fault(name, head[0], Path.of(head[1]), text.substring(from + 5, middle),
                     middle + 6 > to ? "" : text.substring(middle + 6, to));
         }
+
+        /** Where the text to replace occurs in the source; -1 unless it occurs once. */
+        int offsetIn(String source) {
+            int offset = source.indexOf(original);
+            return source.indexOf(original, offset + 1) >= 0 ? -1 : offset;
+        }
     }
 
     @Option(names = "--folder", description = "Folder of the faults (fuzz/faults).")
@@ -157,8 +163,8 @@
     /** Compiles the one source file that contains the fault against the unchanged product. */
     private static void compile(Fault fault, Path outputFolder) throws IOException {
         String source = Files.readString(fault.file);
-        int offset = source.indexOf(fault.original);
-        if (offset < 0 || source.indexOf(fault.original, offset + 1) >= 0) {
+        int offset = fault.offsetIn(source);
+        if (offset < 0) {
             throw new vetchrill.tool.UsageException("fault " + fault.name
                     + ": the text to replace should occur once in "
                     + fault.file);
--- a/fuzz/src/test/java/vetchrill/fuzz/FuzzTest.java
+++ b/fuzz/src/test/java/vetchrill/fuzz/FuzzTest.java
@@ -78,9 +78,7 @@
         try (var files = Files.list(Path.of("faults"))) {
             for (Path file : files.sorted().toList()) {
                 FaultsCommand.Fault fault = FaultsCommand.Fault.read(file);
-                String source = Files.readString(Path.of("..").resolve(fault.file()));
-                int offset = source.indexOf(fault.original());
-                if (offset < 0 || source.indexOf(fault.original(), offset + 1) >= 0) {
+                if (fault.offsetIn(Files.readString(Path.of("..").resolve(fault.file()))) < 0) {
                     unfit.add(fault.name());
                 }
             }
