--- a/review/standin-2/src/review2/Rig.java
+++ b/review/standin-2/src/review2/Rig.java
@@ -388,9 +388,42 @@
         }
 
         private synchronized void write(Socket socket, byte[] bytes) throws IOException {
-            socket.getOutputStream().write(bytes);
+            if (pieceDelayMs == 0) {
+                socket.getOutputStream().write(bytes);
+            } else {
+                outgoing.add(new Outgoing(socket, bytes, System.nanoTime() + pieceDelayMs * 1_000_000L));
+            }
+        }
+
+        private record Outgoing(Socket socket, byte[] bytes, long dueNanos) {
         }
 
+        private final java.util.concurrent.LinkedBlockingQueue<Outgoing> outgoing =
+                new java.util.concurrent.LinkedBlockingQueue<>();
+
+        /** From now on what it sends comes in two pieces, the second of them this much later. */
+        void sendInPieces(int delayMs) {
+            pieceDelayMs = delayMs;
+            daemon("pieces", () -> {
+                while (true) {
+                    Outgoing message = outgoing.take();
+                    int first = message.bytes.length / 2;
+                    try {
+                        message.socket.getOutputStream().write(message.bytes, 0, first);
+                        long wait = message.dueNanos - System.nanoTime();
+                        if (wait > 0) {
+                            Thread.sleep(wait / 1_000_000, (int) (wait % 1_000_000));
+                        }
+                        message.socket.getOutputStream().write(message.bytes, first, message.bytes.length - first);
+                    } catch (IOException e) {
+                        // The link broke. Notices are kept, and sent on the next one.
+                    }
+                }
+            });
+        }
+
+        private volatile int pieceDelayMs;
+
         private synchronized void apply(String rid, String group, byte[] body) throws IOException {
             Try attempt = tries.get(rid);
             if (attempt == null || !attempt.group.equals(group) || !Arrays.equals(attempt.body, body)) {
