--- a/review/standin-2/src/review2/Rig.java
+++ b/review/standin-2/src/review2/Rig.java
@@ -177,6 +177,8 @@
         Process process;
         /** The descriptor limit in its configuration. */
         int sockets = 1024;
+        /** The memory limit in its configuration. */
+        int memoryMb = 192;
 
         Instance(String name) throws IOException {
             this.name = name;
@@ -189,7 +191,7 @@
             Files.writeString(next, "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port
                     + "\",\"vm\":\"127.0.0.1:" + interpreterPort + "\",\"members\":\"127.0.0.1:" + membersPort
                     + "\",\"seed\":\"8c1f30d27a5be964\",\"stop_ms\":" + stopMs
-                    + ",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets + "},\"settings\":" + settings + "}");
+                    + ",\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "},\"settings\":" + settings + "}");
             Files.move(next, config, java.nio.file.StandardCopyOption.REPLACE_EXISTING,
                     java.nio.file.StandardCopyOption.ATOMIC_MOVE);
         }
