Charge what a connection costs by length and for every frame type

Cause: a frame above 16 KiB of any type but 2 was skipped without a reply and without being charged, so no limit on the connection ever applied.

Change: InputBudget bounds what a connection may cost without valid exchanges, for every type. Long frames are charged by their length, also after the limit; an unknown type ends the reading at its header; health checks past a burst of 64 and 20 a second are charged like invalid frames, as one connection could have them answered without end.

The reference reader of the fuzz target 'frames' and the handler of MessageSplittingTest follow the new order of checks: an unknown type is decided on at the header rather than behind the whole frame, and the length is compared as well.

--- a/fuzz/src/main/java/vetchrill/fuzz/targets/FramesTarget.java
+++ b/fuzz/src/main/java/vetchrill/fuzz/targets/FramesTarget.java
@@ -49,8 +49,8 @@
         }
 
         @Override
-        public boolean onOversizedFrame(int type, int stream) {
-            events.add("oversized " + type + " " + stream);
+        public boolean onOversizedFrame(int type, int stream, int length) {
+            events.add("oversized " + type + " " + stream + " " + length);
             return true;
         }
 
@@ -124,20 +124,20 @@
                 return events;
             }
             int type = in[offset + 4] & 0xff;
+            if (type != 2 && type != 16) {
+                events.add("broken");
+                return events;
+            }
             int stream = (in[offset + 5] & 0xff) << 24 | (in[offset + 6] & 0xff) << 16 | (in[offset + 7] & 0xff) << 8
                     | in[offset + 8] & 0xff;
             if (length > LIMITS.maxBufferedFrameBytes - 4) {
-                events.add("oversized " + type + " " + stream);
+                events.add("oversized " + type + " " + stream + " " + length);
                 offset += (int) Math.min(4 + length, in.length - offset);
                 continue;
             }
             if (in.length - offset < 4 + length) {
                 return events;
             }
-            if (type != 2 && type != 16) {
-                events.add("broken");
-                return events;
-            }
             byte[] payload = Arrays.copyOfRange(in, offset + 9, (int) (offset + 4 + length));
             events.add("frame " + type + " " + stream + " " + Arrays.hashCode(payload) + " "
                     + readFieldsSlowly(payload));
--- a/instance/src/main/java/vetchrill/protocol/FrameReader.java
+++ b/instance/src/main/java/vetchrill/protocol/FrameReader.java
@@ -11,7 +11,7 @@
         boolean onFrame(int type, int stream, byte[] buf, int from, int to);
 
         /** Handles a frame that is longer than any exchange needs; its payload is skipped. False stops reading. */
-        boolean onOversizedFrame(int type, int stream);
+        boolean onOversizedFrame(int type, int stream, int length);
 
         /** Called when the input is not a sequence of valid frames; reading stops. */
         void onMalformedInput(String reason);
@@ -51,18 +51,18 @@
             return 0;
         }
         int type = buf[from + Frames.TYPE_OFFSET] & 0xff;
+        if (type != Frames.EXCHANGE && type != Frames.HEALTH_CHECK) {
+            handler.onMalformedInput("unexpected frame type " + type);
+            return -1;
+        }
         int stream = Frames.readInt(buf, from + Frames.STREAM_OFFSET);
         if (length > limits.maxBufferedFrameBytes - Frames.LENGTH_BYTES) {
             bytesToSkip = (int) length - Frames.MIN_LENGTH;
-            return handler.onOversizedFrame(type, stream) ? HEADER_BYTES : -1;
+            return handler.onOversizedFrame(type, stream, (int) length) ? HEADER_BYTES : -1;
         }
         if (available < Frames.LENGTH_BYTES + length) {
             return 0;
         }
-        if (type != Frames.EXCHANGE && type != Frames.HEALTH_CHECK) {
-            handler.onMalformedInput("unexpected frame type " + type);
-            return -1;
-        }
         boolean keepReading = handler.onFrame(type, stream, buf,
                 from + HEADER_BYTES, from + Frames.LENGTH_BYTES + (int) length);
         return keepReading ? Frames.LENGTH_BYTES + (int) length : -1;
--- a/instance/src/main/java/vetchrill/routing/AdmissionStage.java
+++ b/instance/src/main/java/vetchrill/routing/AdmissionStage.java
@@ -178,17 +178,17 @@
     /** Logs input that no correct stub sends, and counts it against the connection that it came from. */
     void countViolation(OpenExchange ex, String violation) {
         peerLog.warn(LOG, "invalid input from a stub: {0}", violation);
-        if (ex.stub.countViolation(limits.maxInvalidFrames)) {
+        if (ex.stub.inputBudget.chargeInvalidFrame()) {
             onViolationLimit(ex.stub);
         }
     }
 
     /**
-     * Has a connection with too many violations closed. Its stub is told first, and {@link StubFrameHandler} reads on
+     * Has a connection that used up its {@link InputBudget} closed. Its stub is told first, and {@link StubFrameHandler} reads on
      * for what it has already sent: valid exchanges among that must not be lost.
      */
     void onViolationLimit(StubConnection stub) {
-        peerLog.warn(LOG, "closing a connection after {0} invalid frames", limits.maxInvalidFrames);
+        peerLog.warn(LOG, "closing a connection over its invalid input, violation limit {0}", limits.maxInvalidFrames);
         registry.drainAndClose(stub);
     }
 
--- a/instance/src/main/java/vetchrill/routing/ProcessingChain.java
+++ b/instance/src/main/java/vetchrill/routing/ProcessingChain.java
@@ -139,7 +139,7 @@
         int connectionCount = openConnections.incrementAndGet();
         Connection connection = new Connection(channel, limits, readers, writers, unsentBytes,
                 openConnections::decrementAndGet);
-        StubConnection stub = new StubConnection(connection, clock.now());
+        StubConnection stub = new StubConnection(connection, limits, clock.now());
         thread.post(() -> registry.onConnectionOpened(stub, connectionCount));
         StubFrameHandler frameHandler = new StubFrameHandler(settings, limits, thread, clock, stub, admission, registry,
                 healthReporter, openBodyBytes, peerLog, recorder);
--- a/instance/src/main/java/vetchrill/routing/StubConnection.java
+++ b/instance/src/main/java/vetchrill/routing/StubConnection.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import vetchrill.transport.Connection;
+import vetchrill.transport.Limits;
 
 /** State of one connection of a client stub. Owned by the decision thread, except for what is atomic or volatile. */
 final class StubConnection {
@@ -11,8 +12,7 @@
     final Map<Integer, OpenExchange> openByStream = new LinkedHashMap<>();
     /** Exchanges that were read from it and still wait for the decision thread. */
     final AtomicInteger queuedArrivals = new AtomicInteger();
-    /** Frames that no correct stub sends. */
-    private final AtomicInteger violations = new AtomicInteger();
+    final InputBudget inputBudget;
     /** When the last whole frame was read or the last answer sent; at first, when it was accepted. */
     volatile long lastUsedAt;
     /** A whole frame has been received. */
@@ -27,8 +27,9 @@
     boolean closed;
     long closedAt;
 
-    StubConnection(Connection connection, long now) {
+    StubConnection(Connection connection, Limits limits, long now) {
         this.connection = connection;
+        inputBudget = new InputBudget(limits, now);
         lastUsedAt = now;
     }
 
@@ -38,19 +39,6 @@
         frameReceived = true;
     }
 
-    /** Counts a violation; true for the one that reaches {@code limit}. On any thread. */
-    boolean countViolation(int limit) {
-        return violations.incrementAndGet() == limit;
-    }
-
-    boolean hasViolations() {
-        return violations.get() > 0;
-    }
-
-    boolean isViolationLimitReached(int limit) {
-        return violations.get() >= limit;
-    }
-
     /** Whether no exchange is open or on its way to the decision thread. */
     boolean isIdle() {
         return openByStream.isEmpty() && queuedArrivals.get() == 0;
--- a/instance/src/main/java/vetchrill/routing/StubFrameHandler.java
+++ b/instance/src/main/java/vetchrill/routing/StubFrameHandler.java
@@ -32,8 +32,6 @@
     /** Null when recording is off. */
     private final Recorder recorder;
     private final Fields fields = new Fields();
-    /** Frames read since the violation limit was reached. */
-    private int framesAfterLimit;
 
     StubFrameHandler(DeploymentReader settings, Limits limits, DecisionThread thread, Clock clock, StubConnection stub,
             AdmissionStage admission, ExchangeRegistry registry, HealthReporter healthReporter,
@@ -55,29 +53,25 @@
     public boolean onFrame(int type, int stream, byte[] buf, int from, int to) {
         String error = fields.parse(buf, from, to);
         stub.onFrame(clock.now());
-        if (type == Frames.HEALTH_CHECK) {
-            // Answered on this thread, so that checks get their answers while the decision thread is busy denying.
-            stub.connection.send(Frames.healthCheckAnswer(stream, error == null && healthReporter.isHealthy()));
-            return true;
-        }
-        if (error == null) {
+        if (error == null && type == Frames.HEALTH_CHECK) {
+            answerHealthCheck(stream);
+        } else if (error == null) {
             error = decodeExchange(stream, buf, to);
         }
         if (error != null) {
-            rejectMalformed(stream, error);
+            rejectMalformed(type, stream, error);
+            closeAfter(stub.inputBudget.chargeInvalidFrame());
         }
-        return keepsReading();
+        return stub.inputBudget.mayReadOn();
     }
 
-    /**
-     * Whether to read on. A stub of another version may send a malformed frame now and then and keeps its connection;
-     * one that sends nothing else would take a share of the single core without end. After the limit the stub is told
-     * to close, and as many frames are read as a correct stub may have on their way by then. Its open exchanges are
-     * answered before the connection is closed.
-     */
-    private boolean keepsReading() {
-        return !stub.isViolationLimitReached(limits.maxInvalidFrames)
-                || framesAfterLimit++ < limits.maxExchangesPerConnection;
+    /** Answers on this thread, so that checks get their answers while the decision thread is busy denying. */
+    private void answerHealthCheck(int stream) {
+        stub.connection.send(Frames.healthCheckAnswer(stream, healthReporter.isHealthy()));
+        if (!stub.inputBudget.takeHealthCheck(clock.now())) {
+            logFirstViolation("too many health checks on one connection");
+            closeAfter(stub.inputBudget.chargeInvalidFrame());
+        }
     }
 
     /** Posts the exchange to the decision thread; returns what is wrong with the frame, or null. */
@@ -157,32 +151,37 @@
     }
 
     @Override
-    public boolean onOversizedFrame(int type, int stream) {
+    public boolean onOversizedFrame(int type, int stream, int length) {
         stub.onFrame(clock.now());
-        if (type == Frames.EXCHANGE) {
-            rejectMalformed(stream, "frame is longer than any exchange needs");
-        }
-        return keepsReading();
+        rejectMalformed(type, stream, "frame is longer than any exchange needs");
+        closeAfter(stub.inputBudget.chargeSkippedFrame(length));
+        return stub.inputBudget.mayReadOnPast(length);
     }
 
-    /** Answers a frame that is not a valid exchange with an error on its stream. */
-    private void rejectMalformed(int stream, String error) {
-        countViolation(error);
-        stub.connection.send(Frames.terminated(stream));
+    /** Answers an invalid frame with an error on its stream. */
+    private void rejectMalformed(int type, int stream, String error) {
+        logFirstViolation(error);
+        stub.connection.send(type == Frames.HEALTH_CHECK ? Frames.healthCheckAnswer(stream, false)
+                : Frames.terminated(stream));
     }
 
     @Override
     public void onMalformedInput(String reason) {
-        countViolation(reason);
+        logFirstViolation(reason);
         stub.connection.send(Frames.terminated(0));
+        closeAfter(stub.inputBudget.chargeInvalidFrame());
     }
 
-    /** Logs the first violation of each connection only. */
-    private void countViolation(String violation) {
-        if (!stub.hasViolations()) {
+    /** The further violations of a connection are not logged. */
+    private void logFirstViolation(String violation) {
+        if (stub.inputBudget.isUntouched()) {
             peerLog.warn(LOG, "invalid input from a stub: {0}", violation);
         }
-        if (stub.countViolation(limits.maxInvalidFrames)) {
+    }
+
+    /** Has the connection closed if its budget for invalid input was used up just now. */
+    private void closeAfter(boolean budgetUsedUp) {
+        if (budgetUsedUp) {
             thread.post(() -> admission.onViolationLimit(stub));
         }
     }
--- a/instance/src/main/java/vetchrill/transport/Limits.java
+++ b/instance/src/main/java/vetchrill/transport/Limits.java
@@ -103,8 +103,12 @@
     /** A draining process may hold the same address for this time. */
     public final long bindTimeoutTenthsMs = 100_000;
     public final long bindRetryTenthsMs = 500;
-    /** Invalid frames after which the stub is told to close its connection. */
+    /** Invalid frames, each of the longest length that is buffered, after which the stub is told to close. */
     public final int maxInvalidFrames = 8;
+    /** Health checks that a connection may send at once. */
+    public final int maxHealthCheckBurst = 64;
+    /** A connection may send one more health check in each such time. */
+    public final long healthCheckIntervalTenthsMs = 500;
     /** Log lines about the behaviour of peers between two summaries. */
     public final int maxPeerLogLines = 20;
     /** Time before the end of a drain at which the listener closes and all connections get a go-away frame. */
--- a/instance/src/test/java/vetchrill/routing/ExchangeRegistryTest.java
+++ b/instance/src/test/java/vetchrill/routing/ExchangeRegistryTest.java
@@ -65,6 +65,6 @@
     private StubConnection connection(Clock clock, boolean hasUnread) {
         Connection connection = new Connection(new UnreadChannel(hasUnread), limits, task -> { }, task -> { },
                 new AtomicLong(), () -> { });
-        return new StubConnection(connection, clock.now());
+        return new StubConnection(connection, limits, clock.now());
     }
 }
--- a/lab/src/test/java/vetchrill/protocol/MessageSplittingTest.java
+++ b/lab/src/test/java/vetchrill/protocol/MessageSplittingTest.java
@@ -53,7 +53,7 @@
                 }
 
                 @Override
-                public boolean onOversizedFrame(int type, int stream) {
+                public boolean onOversizedFrame(int type, int stream, int length) {
                     seen.add("oversized " + type + " " + stream);
                     return true;
                 }
