Accept no other exchange under an id that may have run

Cause: a notice names a run by the id of its exchange only. A repeatable run requested again after a lost link can end twice; the first notice freed the id, and the second completed whichever exchange had come under it since. The same freed id let a mutating exchange run twice when it came again after its client had left and its run was over.

Change: RecentRunIds keeps the last ids that may have run, within 1/96 of the memory, and AdmissionStage answers another exchange under such an id with an error. An id whose only run the interpreter declined is not kept.

--- a/instance/src/main/java/vetchrill/routing/AdmissionStage.java
+++ b/instance/src/main/java/vetchrill/routing/AdmissionStage.java
@@ -161,6 +161,11 @@
         if (ex.idempotencyKey != null) {
             idempotencyCache.linkToOriginal(ex);
         }
+        if (!ex.repeat && registry.hasRecentRun(ex.id)) {
+            peerLog.warn(LOG, "rid {0} has been used by an exchange that ran", ex.id);
+            rejectUnregistered(ex, Frames.terminated(ex.stream), Recorder.TERMINATED);
+            return;
+        }
         if (controller == null || ex.idempotencyKey != null && !ex.repeat && idempotencyCache.isFull()) {
             rejectUnregistered(ex, Frames.denied(ex.stream, 0, false), Recorder.DENIED);
             return;
@@ -220,6 +225,7 @@
     /** {@code answerFrame} is null if the run has no result. */
     void onRunFinished(OpenExchange ex, Exchange.Outcome outcome, long runDuration, byte[] answerFrame) {
         ex.runDuration = runDuration;
+        ex.runDeclined = outcome == Exchange.Outcome.NOT_STARTED;
         controller.onRunEnded(ex, outcome, runDuration, clock.now());
         if (ex.isFinished()) {
             idempotencyCache.onRunFinished(ex, answerFrame);
--- a/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
+++ b/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
@@ -25,6 +25,7 @@
     private final DecisionThread thread;
     private final AtomicLong openBodyBytes;
     private final Map<String, OpenExchange> exchangesById = new LinkedHashMap<>();
+    private final RecentRunIds recentRunIds;
     private final Set<StubConnection> connections = new LinkedHashSet<>();
     /** Connections closed by this side that their peers are not known to have closed, the earliest closed first. */
     private final Set<StubConnection> lingering = new LinkedHashSet<>();
@@ -49,6 +50,7 @@
         this.callerIdleTime = callerIdleTime;
         idleTime = callerIdleTime;
         this.limits = limits;
+        recentRunIds = new RecentRunIds(limits.maxRecentRunIds);
         this.thread = thread;
         this.openBodyBytes = openBodyBytes;
     }
@@ -140,12 +142,20 @@
     void removeIfFinished(OpenExchange ex) {
         if (ex.hasAnswer && ex.isFinished() && exchangesById.remove(ex.id) != null) {
             releaseBody(ex);
+            if (ex.mayHaveRun()) {
+                recentRunIds.add(ex.id);
+            }
             if (recorder != null) {
                 record(ex);
             }
         }
     }
 
+    /** Whether an exchange with this id may have run, which is no longer open. */
+    boolean hasRecentRun(String id) {
+        return recentRunIds.contains(id);
+    }
+
     /** For an exchange that was answered before it was registered. */
     void closeUnregistered(OpenExchange ex, byte answerKind) {
         releaseBody(ex);
--- a/instance/src/main/java/vetchrill/routing/InterpreterClient.java
+++ b/instance/src/main/java/vetchrill/routing/InterpreterClient.java
@@ -96,6 +96,7 @@
                     clock.now());
         }
         boolean firstRequest = ex.requestedOnLink == 0;
+        ex.requestedAgain = !firstRequest;
         ex.requestedOnLink = linkNumber;
         byte[] command = InterpreterLines.apply(ex.id, ex.groupName, ex.body);
         if (admission.isLeaseRequired() && !ex.hasAnswer) {
--- a/instance/src/main/java/vetchrill/routing/OpenExchange.java
+++ b/instance/src/main/java/vetchrill/routing/OpenExchange.java
@@ -37,6 +37,10 @@
     boolean started;
     /** Number of the link over which its run was last requested; 0 if it has not been requested. */
     int requestedOnLink;
+    /** Its run was requested again, so that the interpreter may report two runs of it. */
+    boolean requestedAgain;
+    /** The interpreter has reported that it started no run. */
+    boolean runDeclined;
 
     OpenExchange(String id, String groupName, StubConnection stub, int stream, byte[] body) {
         this.id = id;
@@ -45,4 +49,9 @@
         this.stream = stream;
         this.body = body;
     }
+
+    /** Whether a run of it may have taken place, or another report of one may follow. */
+    boolean mayHaveRun() {
+        return requestedOnLink != 0 && (requestedAgain || !runDeclined);
+    }
 }
--- a/instance/src/main/java/vetchrill/transport/Limits.java
+++ b/instance/src/main/java/vetchrill/transport/Limits.java
@@ -14,6 +14,8 @@
 
     /** Heap use of one idempotency key with its timer. */
     private static final int KEY_HEAP_BYTES = 320;
+    /** Heap use of one remembered id of an exchange that has run. */
+    private static final int RUN_ID_HEAP_BYTES = 72;
 
     /** Memory limit of the program. */
     public final long memoryBytes;
@@ -55,6 +57,8 @@
     public final long maxStoredAnswerBytes;
     /** Deduplicated exchanges that are remembered; above it such exchanges are denied before they are started. */
     public final int maxStoredKeys;
+    /** Ids of exchanges that have run and under which no other is accepted; above it the oldest are dropped. */
+    public final int maxRecentRunIds;
 
     /** An earlier arrival timestamp is clamped to this age. */
     public final long maxStampAgeTenthsMs = 600_000;
@@ -130,5 +134,6 @@
         maxTotalBodyBytes = memoryBytes / 8;
         maxStoredAnswerBytes = memoryBytes / 24;
         maxStoredKeys = (int) Math.min(Integer.MAX_VALUE, memoryBytes / 24 / KEY_HEAP_BYTES);
+        maxRecentRunIds = (int) Math.min(Integer.MAX_VALUE, memoryBytes / 96 / RUN_ID_HEAP_BYTES);
     }
 }
--- a/lab/src/test/java/vetchrill/program/ConcurrentEventsTest.java
+++ b/lab/src/test/java/vetchrill/program/ConcurrentEventsTest.java
@@ -247,4 +247,61 @@
             assertTrue(rig.interpreter.commands.isEmpty(), "the run was requested twice");
         }
     }
+
+    /** Guards against a late notice of a run that was requested twice, taken for the run of another with its id. */
+    public void noticeOfASecondRunCompletesNoOtherExchangeWithTheId() throws Exception {
+        try (InstanceRig rig = new InstanceRig().startHealthy();
+                StubClient stub = rig.connectStub();
+                StubClient other = rig.connectStub()) {
+            awaitNext(rig.interpreter.commands, "a link");
+            stub.sendExchange(1, "look", A, "own");
+            awaitNext(rig.interpreter.commands, "a run");
+            rig.interpreter.disconnect();
+            assertEquals(awaitNext(rig.interpreter.commands, "a reconnect"), "CONNECT 0");
+            assertEquals(awaitNext(rig.interpreter.commands, "the run again"), "APPLY " + A + " look 3\nown");
+            rig.interpreter.value(A, "good", "first");
+            assertEquals(stub.read(), new StubClient.Frame(4, 1, 79, "\0first"));
+            other.sendExchange(1, "look", A, "foreign");
+            assertEquals(other.read(), new StubClient.Frame(4, 1, 69, "\0"));
+            rig.interpreter.value(A, "good", "second");
+            other.sendExchange(2, "look", B, "");
+            assertEquals(awaitNext(rig.interpreter.commands, "a run"), "APPLY " + B + " look 0\n");
+        }
+    }
+
+    /** Guards against a second run of an exchange that comes again after its client has left. */
+    public void idThatComesAgainAfterItsClientHasLeftIsNotRunTwice() throws Exception {
+        try (InstanceRig rig = new InstanceRig().startHealthy();
+                StubClient first = rig.connectStub();
+                StubClient second = rig.connectStub()) {
+            awaitNext(rig.interpreter.commands, "a link");
+            first.sendExchange(1, "note", A, "");
+            awaitNext(rig.interpreter.commands, "a run");
+            first.socket.setSoLinger(true, 0);
+            first.close();
+            rig.awaitLog("reset with 1 exchanges open");
+            rig.interpreter.value(A, "good", "to nobody");
+            rig.awaitLog("run ended: status good");
+            second.sendExchange(1, "note", A, "");
+            assertEquals(second.read(), new StubClient.Frame(4, 1, 69, "\0"));
+            assertTrue(rig.interpreter.commands.isEmpty(), "the run was requested twice");
+        }
+    }
+
+    /** An id that another client sent first, and whose run the interpreter rejected, is free for its own client. */
+    public void idWhoseRunWasRejectedIsRunForItsOwnClient() throws Exception {
+        try (InstanceRig rig = new InstanceRig().startHealthy();
+                StubClient thief = rig.connectStub();
+                StubClient stub = rig.connectStub()) {
+            awaitNext(rig.interpreter.commands, "a link");
+            thief.sendExchange(1, "note", A, "foreign");
+            awaitNext(rig.interpreter.commands, "a run");
+            rig.interpreter.write("ERROR APPLY " + A + "\r\n");
+            assertEquals(thief.read(), new StubClient.Frame(4, 1, 69, "\0"));
+            stub.sendExchange(1, "note", A, "own");
+            assertEquals(awaitNext(rig.interpreter.commands, "a run"), "APPLY " + A + " note 3\nown");
+            rig.interpreter.value(A, "good", "done");
+            assertEquals(stub.read(), new StubClient.Frame(4, 1, 79, "\0done"));
+        }
+    }
 }
