Withdraw the pending exchanges of a peer that left after closing its output

Cause: a connection whose peer has shut down its output is kept, as the peer may read on. When a later write failed, the writer relied on the reader to report that, but the reader had ended with the input.

Change: a failed write is reported by the writer (InputHandler.outputFailed). At the end of a peer's output a go-away frame is sent twice, 50 ms apart: a peer that has left answers the first with a reset, so that the second write fails.

InstanceRunnerTest.brokenFramingEndsTheConnectionOnceItsExchangesAreAnswered used one id for three exchanges that run; since an id that ran is not run again ("16 hex digits, new with every try"), so the test failed there. It takes a new id each time now, with the same checks.

--- a/instance/src/main/java/vetchrill/protocol/FrameReader.java
+++ b/instance/src/main/java/vetchrill/protocol/FrameReader.java
@@ -18,6 +18,10 @@
 
         /** Called once when reading ends; {@code disconnected} means that no answer can reach the stub either. */
         void onInputEnded(boolean disconnected);
+
+        /** Called when no answer can reach the stub any more, on the writer's thread. */
+        default void onOutputFailed() {
+        }
     }
 
     private static final int HEADER_BYTES = Frames.HEADER_BYTES;
@@ -72,4 +76,9 @@
     public void inputEnded(String reason, boolean disconnected) {
         handler.onInputEnded(disconnected);
     }
+
+    @Override
+    public void outputFailed() {
+        handler.onOutputFailed();
+    }
 }
--- a/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
+++ b/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
@@ -70,6 +70,23 @@
     void onReadEnd(StubConnection stub) {
         stub.readEnded = true;
         closeIfDrained(stub);
+        if (stub.connection.isInputEnded() && connections.contains(stub)) {
+            probePeer(stub);
+        }
+    }
+
+    /**
+     * Finds out whether a peer that has shut down its output still reads. One that has left answers the first message
+     * with a reset, and the next one can't be written then.
+     */
+    private void probePeer(StubConnection stub) {
+        stub.draining = true;
+        stub.connection.send(Frames.goAway());
+        thread.schedule(thread.now() + limits.peerProbeIntervalTenthsMs, () -> {
+            if (connections.contains(stub)) {
+                stub.connection.send(Frames.goAway());
+            }
+        });
     }
 
     /** Removes the exchanges whose answers can no longer reach the stub from its connection. */
--- a/instance/src/main/java/vetchrill/routing/StubFrameHandler.java
+++ b/instance/src/main/java/vetchrill/routing/StubFrameHandler.java
@@ -195,4 +195,9 @@
             registry.onReadEnd(stub);
         });
     }
+
+    @Override
+    public void onOutputFailed() {
+        thread.post(() -> admission.onConnectionReset(stub));
+    }
 }
--- a/instance/src/main/java/vetchrill/transport/Connection.java
+++ b/instance/src/main/java/vetchrill/transport/Connection.java
@@ -24,6 +24,13 @@
 
         /** Called once when reading ends; {@code disconnected} means that nothing sent can reach the peer either. */
         void inputEnded(String reason, boolean disconnected);
+
+        /**
+         * Called when a write has failed, so that nothing sent can reach the peer, also where the reading has ended
+         * before. On the writer's thread.
+         */
+        default void outputFailed() {
+        }
     }
 
     private static final System.Logger LOG = System.getLogger("vetchrill.connection");
@@ -52,6 +59,7 @@
     /** The reader stopped before the end of the peer's output; any amount of input may be unread. */
     private volatile boolean inputAbandoned;
     private final AtomicBoolean discardStarted = new AtomicBoolean();
+    private volatile InputHandler inputHandler;
     /** The read buffer ends with an incomplete message. */
     private volatile boolean partialMessage;
 
@@ -73,6 +81,7 @@
 
     /** Starts reading; a message longer than {@code maxMessageBytes} ends the reading. */
     public void start(InputHandler handler, int maxMessageBytes) {
+        inputHandler = handler;
         readers.execute(new ReadTask(handler, maxMessageBytes));
     }
 
@@ -168,6 +177,11 @@
         return aborted.get();
     }
 
+    /** Whether the peer has shut down its output, or the connection has failed. */
+    public boolean isInputEnded() {
+        return inputEnded;
+    }
+
     /** Whether there is input that does not belong to a message which was passed on. */
     public boolean isReceiving() {
         return hasPartialMessage() || hasUnreadInput();
@@ -193,6 +207,12 @@
         }
     }
 
+    private void reportOutputFailed() {
+        if (inputHandler != null) {
+            inputHandler.outputFailed();
+        }
+    }
+
     /** Each step writes all queued messages. */
     private final class WriteTask implements IoTask {
         /** Allocated when messages are first combined; most answers are written alone. */
@@ -250,8 +270,9 @@
                 writerActive.set(false);
                 return !sendQueue.isEmpty() && !writerActive.getAndSet(true);
             } catch (IOException e) {
-                // The reader fails in the same way and reports the reason.
+                // The reader fails in the same way and reports the reason, unless it has ended before.
                 abort();
+                reportOutputFailed();
             } catch (OutOfMemoryError e) {
                 LOG.log(System.Logger.Level.ERROR, "unexpected error while writing to a connection", e);
                 abort();
--- a/instance/src/main/java/vetchrill/transport/Limits.java
+++ b/instance/src/main/java/vetchrill/transport/Limits.java
@@ -94,6 +94,8 @@
     public final long firstFrameTimeoutTenthsMs = 20_000;
     /** An exchange that crosses a close in this time is sent to another instance by its stub. */
     public final long closeRaceWindowTenthsMs = 500;
+    /** Time for the reset of a peer that has left, between the two messages that find out whether it has. */
+    public final long peerProbeIntervalTenthsMs = 500;
     /** Interval at which a new connection waits for a free slot, and the end of a drain for unsent answers. */
     public final long makeRoomPollTenthsMs = 50;
     /** After this many attempts {@link #hardMaxConnections} applies. */
--- a/lab/src/test/java/vetchrill/program/InstanceRunnerTest.java
+++ b/lab/src/test/java/vetchrill/program/InstanceRunnerTest.java
@@ -411,14 +411,16 @@
     public void brokenFramingEndsTheConnectionOnceItsExchangesAreAnswered() throws Exception {
         try (InstanceRig rig = new InstanceRig().startHealthy(); StubClient other = rig.connectStub()) {
             awaitNext(rig.interpreter.commands, "a link");
+            int number = 0;
             for (byte[] malformed : List.of(new byte[] {0, 0, 0, 4, 2, 0, 0, 0, 9}, "GET / HTTP/1.1\r\n\r\n".getBytes(),
                     StubClient.frame(3, 1, new byte[0]))) {
                 try (StubClient stub = rig.connectStub()) {
-                    stub.sendExchange(1, "look", A, "");
+                    String id = String.format("%016x", ++number);
+                    stub.sendExchange(1, "look", id, "");
                     awaitNext(rig.interpreter.commands, "a run");
                     stub.send(malformed);
                     assertEquals(stub.read(), new StubClient.Frame(4, 0, 69, "\0"));
-                    rig.interpreter.value(A, "good", "");
+                    rig.interpreter.value(id, "good", "");
                     assertEquals(stub.read(), new StubClient.Frame(4, 1, 79, "\0"));
                     assertNull(stub.read());
                 }
