Test clients that hold memory or time, with real connections and one core

HostileClientsTest checks that a correct client beside them gets its answers in time and that the memory stays under the 192 MB given.

--- a/lab/src/test/java/vetchrill/InstanceRig.java
+++ b/lab/src/test/java/vetchrill/InstanceRig.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -46,7 +47,7 @@
     public int port;
     /** The least level of the log lines that the instance writes. */
     public String logLevel = "DEBUG";
-    private final List<Closeable> openStubs = new ArrayList<>();
+    private final List<Closeable> openStubs = Collections.synchronizedList(new ArrayList<>());
     private Process process;
     private Path configFile;
 
@@ -103,6 +104,17 @@
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", path, "vetchrill.Main", "serve"));
     }
 
+    /** Starts the instance with the memory options of the deployed command and waits until it reports healthy. */
+    public InstanceRig startHealthyWithDeployedMemory() throws IOException {
+        String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        ProcessBuilder builder = new ProcessBuilder("env", "--default-signal=HUP,TERM", "MALLOC_ARENA_MAX=2",
+                System.getProperty("java.home") + "/bin/java",
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms16m", "-Xmx72m", "-XX:MaxMetaspaceSize=32m",
+                "-XX:ReservedCodeCacheSize=16m", "-XX:-UsePerfData", "-cp", path, "vetchrill.Main", "serve");
+        start(builder);
+        return awaitHealthy();
+    }
+
     /** Starts the instance with another command. */
     public InstanceRig start(ProcessBuilder builder) throws IOException {
         configFile = Files.createTempFile("vetchrill", ".json");
@@ -132,12 +144,20 @@
     /** Starts the instance and waits until it reports that it is healthy. */
     public InstanceRig startHealthy() throws IOException {
         start();
+        return awaitHealthy();
+    }
+
+    private InstanceRig awaitHealthy() {
         if (!awaitNext(membership.phases, "a health report").equals("UP")) {
             throw new AssertionError("the first report is not healthy");
         }
         return this;
     }
 
+    public long pid() {
+        return process.pid();
+    }
+
     /** Sends SIGTERM. */
     public void terminate() {
         process.toHandle().destroy();
