--- a/instance/src/main/java/vetchrill/routing/AdmissionStage.java
+++ b/instance/src/main/java/vetchrill/routing/AdmissionStage.java
@@ -189,8 +189,8 @@
     }
 
     /**
-     * Has a connection that used up its {@link InputBudget} closed. Its stub is told first, and {@link StubFrameHandler} reads on
-     * for what it has already sent: valid exchanges among that must not be lost.
+     * Has a connection that used up its {@link InputBudget} closed. Its stub is told first, and
+     * {@link StubFrameHandler} reads on for what it has already sent: valid exchanges among that must not be lost.
      */
     void onViolationLimit(StubConnection stub) {
         peerLog.warn(LOG, "closing a connection over its invalid input, violation limit {0}", limits.maxInvalidFrames);
