Drop the key of a deduplicated exchange whose run was declined

Callers saw: one client that sent deduplicated requests under ever new tokens, with ids that the interpreter does not know, filled the room for keys in ten seconds (26,214 with 192 MB), and every new request of that class was denied for the window of the keys.

Cause: the key of an exchange that has started stays for its window, and one whose run the interpreter rejected or did not start counted as started.

Change: where the only request for a run was declined, OverloadController.onRunDeclined takes the start back, and the key is dropped as for any exchange that never ran.

RulesTest, DecisionsTest, IdempotencyTest, ConcurrentEventsTest pass.

--- a/instance/src/main/java/vetchrill/control/OverloadController.java
+++ b/instance/src/main/java/vetchrill/control/OverloadController.java
@@ -16,9 +16,9 @@
  * Makes all overload decisions of one instance: which exchanges to start, reject, interrupt or replay, when to make
  * calls to a dependency, and what to report to callers and health checks.
  *
- * <p>The owner reports events through {@link #onArrival}, {@link #onRunEnded}, {@link #onCallRequested},
- * {@link #onCallEnded}, {@link #onCallerDisconnected}, {@link #startDrain}, {@link #updateLease} and {@link #onTick},
- * which only record them. It then calls {@link #next} until that returns false; each call takes at most one action
+ * <p>The owner reports events through {@link #onArrival}, {@link #onRunEnded}, {@link #onRunDeclined},
+ * {@link #onCallRequested}, {@link #onCallEnded}, {@link #onCallerDisconnected}, {@link #startDrain},
+ * {@link #updateLease} and {@link #onTick}, which only record them. It then calls {@link #next} until that returns false; each call takes at most one action
  * through {@link Host}, the only outgoing interface. A single timer, requested by {@link Host#scheduleTick} and
  * answered by {@link #onTick}, drives all periodic work.
  *
@@ -325,6 +325,12 @@
         }
     }
 
+    /** No run of a started exchange has ever begun: its key is dropped, and a later attempt may run. */
+    public void onRunDeclined(Exchange ex, long now) {
+        ex.everStarted = false;
+        onRunEnded(ex, Outcome.NOT_STARTED, 0, now);
+    }
+
     /** The caller no longer waits for its answer; only a repeatable run is stopped for that. */
     public void onCallerDisconnected(Exchange ex, long now) {
         markChanged(now);
--- a/instance/src/main/java/vetchrill/routing/AdmissionStage.java
+++ b/instance/src/main/java/vetchrill/routing/AdmissionStage.java
@@ -226,7 +226,11 @@
     void onRunFinished(OpenExchange ex, Exchange.Outcome outcome, long runDuration, byte[] answerFrame) {
         ex.runDuration = runDuration;
         ex.runDeclined = outcome == Exchange.Outcome.NOT_STARTED;
-        controller.onRunEnded(ex, outcome, runDuration, clock.now());
+        if (ex.runDeclined && !ex.mayHaveRun()) {
+            controller.onRunDeclined(ex, clock.now());
+        } else {
+            controller.onRunEnded(ex, outcome, runDuration, clock.now());
+        }
         if (ex.isFinished()) {
             idempotencyCache.onRunFinished(ex, answerFrame);
         }
--- a/lab/src/test/java/vetchrill/program/HostileClientsTest.java
+++ b/lab/src/test/java/vetchrill/program/HostileClientsTest.java
@@ -1,5 +1,6 @@
 package vetchrill.program;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -25,6 +26,7 @@
     private static final int EXCHANGE = 2;
     private static final int ANSWER = 4;
     private static final int HEALTH_CHECK = 16;
+    private static final int COMPLETED = 79;
     private static final int GO_AWAY = 64;
     private static final int MEMORY_MB = 192;
     private static final int DESCRIPTORS = 1024;
@@ -99,6 +101,30 @@
         }
     }
 
+    /**
+     * Guards against keys of requests that the interpreter rejects, which are kept for the window as if they had run
+     * until there is no room for those of others.
+     */
+    public void rejectedKeyedRequestsLeaveRoomForTheKeysOfOthers() throws Exception {
+        try (InstanceRig rig = new InstanceRig()) {
+            rig.logLevel = "INFO";
+            rig.replacements.put("\"effect\":\"single_shot\"", "\"effect\":\"guarded\",\"keyTtlMs\":600000");
+            rig.replacements.put("\"memory_mb\":192", "\"memory_mb\":32");
+            rig.startHealthyWithDeployedMemory();
+            startDaemon(() -> runEverything(rig));
+            long end = System.nanoTime() + FLOOD_MS * 1_000_000L;
+            startFlood(rig, () -> keyedExchange(newId(), "foreign"), end);
+            Thread.sleep(FLOOD_MS + 500);
+            StubClient client = rig.connectStub();
+            for (int i = 1; i <= MAX_OPEN; i++) {
+                String id = newId();
+                client.send(keyedExchange(id, OWN_BODY));
+                assertEquals(client.read(), new StubClient.Frame(ANSWER, (int) Long.parseLong(id, 16), COMPLETED,
+                        "\0done"), "request " + i);
+            }
+        }
+    }
+
     /** What each of many clients writes of a frame: the frame, the bytes sent of it, and those sent at a time. */
     @DataProvider
     Object[][] crowds() {
@@ -338,6 +364,12 @@
         return StubClient.exchange((int) Long.parseLong(id, 16), group, id, body);
     }
 
+    private static byte[] keyedExchange(String id, String body) {
+        return StubClient.frame(EXCHANGE, (int) Long.parseLong(id, 16), StubClient.payload(body, "method", "note", "rid",
+                id, "t0", Long.toString(System.currentTimeMillis()), "peer", "4", "acct", "acme", "mem", "24.5",
+                "prio", "0.6250", "token", id));
+    }
+
     /** A valid request with as many fields as a frame can have, most of them unknown and short. */
     private byte[] manyFields() {
         String id = newId();
