--- a/instance/src/main/java/vetchrill/control/OverloadController.java
+++ b/instance/src/main/java/vetchrill/control/OverloadController.java
@@ -18,9 +18,9 @@
  *
  * <p>The owner reports events through {@link #onArrival}, {@link #onRunEnded}, {@link #onRunDeclined},
  * {@link #onCallRequested}, {@link #onCallEnded}, {@link #onCallerDisconnected}, {@link #startDrain},
- * {@link #updateLease} and {@link #onTick}, which only record them. It then calls {@link #next} until that returns false; each call takes at most one action
- * through {@link Host}, the only outgoing interface. A single timer, requested by {@link Host#scheduleTick} and
- * answered by {@link #onTick}, drives all periodic work.
+ * {@link #updateLease} and {@link #onTick}, which only record them. It then calls {@link #next} until that returns
+ * false; each call takes at most one action through {@link Host}, the only outgoing interface. A single timer,
+ * requested by {@link Host#scheduleTick} and answered by {@link #onTick}, drives all periodic work.
  *
  * <p>All times and durations are tenths of a millisecond on the owner's clock. Not thread-safe.
  */
--- a/lab/src/test/java/vetchrill/program/HostileClientsTest.java
+++ b/lab/src/test/java/vetchrill/program/HostileClientsTest.java
@@ -365,8 +365,8 @@
     }
 
     private static byte[] keyedExchange(String id, String body) {
-        return StubClient.frame(EXCHANGE, (int) Long.parseLong(id, 16), StubClient.payload(body, "method", "note", "rid",
-                id, "t0", Long.toString(System.currentTimeMillis()), "peer", "4", "acct", "acme", "mem", "24.5",
+        return StubClient.frame(EXCHANGE, (int) Long.parseLong(id, 16), StubClient.payload(body, "method", "note",
+                "rid", id, "t0", Long.toString(System.currentTimeMillis()), "peer", "4", "acct", "acme", "mem", "24.5",
                 "prio", "0.6250", "token", id));
     }
 
