Release the connection of a peer that left after closing its output

Since a failed write withdraws the exchanges of such a connection, and with them went the answers whose sending would have closed it: it stayed registered for good, one more for each client that left in this way.

Change: ExchangeRegistry.abandonExchanges, which both reports of a lost peer pass, closes a connection whose reading has ended.

Measured: ClientDepartureTest.connectionOfAClientThatLeftIsReleased failed on after a close (1 connection left where 0 are expected), passes now with close and reset.

--- a/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
+++ b/instance/src/main/java/vetchrill/routing/ExchangeRegistry.java
@@ -89,7 +89,10 @@
         });
     }
 
-    /** Removes the exchanges whose answers can no longer reach the stub from its connection. */
+    /**
+     * Removes the exchanges whose answers can no longer reach the stub from its connection, and the connection where
+     * its reading has ended before.
+     */
     List<OpenExchange> abandonExchanges(StubConnection stub) {
         List<OpenExchange> abandoned = new ArrayList<>(stub.openByStream.values());
         for (OpenExchange ex : abandoned) {
@@ -98,6 +101,7 @@
             ex.answeredAt = thread.now();
         }
         stub.openByStream.clear();
+        closeIfDrained(stub);
         return abandoned;
     }
 
--- a/lab/src/test/java/vetchrill/program/ClientDepartureTest.java
+++ b/lab/src/test/java/vetchrill/program/ClientDepartureTest.java
@@ -73,6 +73,24 @@
         }
     }
 
+    /** Guards against connections that stay registered, and in memory, for clients that have left. */
+    @Test(dataProvider = "departures", timeOut = TEST_TIMEOUT_MS)
+    public void connectionOfAClientThatLeftIsReleased(boolean reset) throws Exception {
+        try (InstanceRig rig = startInstance()) {
+            StubClient leaving = rig.connectStub();
+            leaving.send(requests("note"));
+            List<String> started = takeRuns(rig);
+            leave(leaving, reset);
+            Thread.sleep(DETECTION_MS);
+            for (String id : started) {
+                rig.interpreter.value(id, "good", "");
+            }
+            Thread.sleep(DETECTION_MS);
+            rig.terminate();
+            rig.awaitLog("drain: 0 exchanges open on 0 connections");
+        }
+    }
+
     /** A half-close is no departure: its client reads on, and all its requests are answered. */
     public void requestsOfAHalfClosedConnectionAreAnswered() throws Exception {
         try (InstanceRig rig = startInstance(); StubClient stub = rig.connectStub()) {
